--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"walnutvale/control"
-	"walnutvale/internal/wire"
+	"larchusher/control"
+	"larchusher/internal/wire"
 )
 
 func main() {
--- a/control/example_test.go
+++ b/control/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"walnutvale/control"
+	"larchusher/control"
 )
 
 // A director in front of two caches and an origin takes a request, sends it on, and learns from the answer.
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -11,7 +11,7 @@
 	"math"
 	"time"
 
-	"walnutvale/control"
+	"larchusher/control"
 )
 
 // maxList is the highest number that a list may bear.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"walnutvale/control"
+	"larchusher/control"
 )
 
 // The bits of an attempt's `how`.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"walnutvale/control"
+	"larchusher/control"
 )
 
 // env mirrors the settings object of the wire.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"walnutvale/control"
+	"larchusher/control"
 )
 
 const envText = `{"balancers":3,"classes":[{"name":"page","effect":"by_key","dedupScope":"cell","aimMs":250,` +
