--- a/control/control.go
+++ b/control/control.go
@@ -815,6 +815,18 @@
 	s.rate = s.recent(now) + work/rateWindow.Seconds()
 }
 
+// Recheck says whether an attempt that waited, for its connection say, may still be written at the given time,
+// and with which age limit: its store or source may drain by now, or its object may have been purged.
+func (d *Director) Recheck(now time.Duration, id string, number int) (maxAge time.Duration, ok bool) {
+	r := d.requests[id]
+	if r == nil || number < 0 || number >= len(r.attempts) || r.over {
+		return 0, false
+	}
+	a := r.attempts[number]
+	d.now = max(d.now, now)
+	return d.maxAge(r), a.out && a.to.up && a.source.up
+}
+
 // ---- hints ----
 
 // move queues a moved listing for this location's directors.
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,344 @@
+package gateway
+
+import (
+	"fmt"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"larchusher/control"
+)
+
+// Config is what a gateway is made of.
+type Config struct {
+	Loop     *Loop
+	Settings control.Settings
+	Seed     uint64
+	Backend  Backend
+	Peers    Peers // nil: none
+	Log      logrus.FieldLogger
+	MaxOpen  int // requests open at once; further ones are refused. 0: no limit
+	MaxBytes int // bytes of bodies held at once; further requests are refused. 0: no limit
+}
+
+// Gateway runs one director. Its methods may be called only on its loop.
+type Gateway struct {
+	Counters Counters
+
+	cfg      Config
+	director *control.Director
+	base     time.Time           // the director's clock is the Unix time at base,
+	baseUnix time.Duration       // and runs on steadily whatever happens to the system's clock
+	requests map[string]*Request // those that await their answer
+	over     map[string]*Request // those answered that have attempts out
+	serial   uint64
+	held     int // bytes of request bodies held
+
+	events  []event
+	running bool
+	actions []control.Action
+}
+
+// event waits for its turn with the director.
+type event struct {
+	control.Event
+	request *Request // of a control.Request
+}
+
+// Counters count what a gateway takes in and gives out.
+type Counters struct {
+	Taken    uint64              // requests taken in
+	Answered [Expired + 1]uint64 // final answers, by outcome
+	Gone     uint64              // requests whose client left first
+	Attempts uint64              // attempts handed to the backend
+	Ended    [control.Miss + 1]uint64
+	Withheld uint64 // attempts stopped right before they were written
+	Told     uint64 // messages to peers
+	Heard    uint64 // messages from peers
+	Purges   uint64
+	Panics   uint64 // events that broke the director
+}
+
+// New returns a gateway. It does nothing until [Gateway.Start].
+func New(cfg Config) (*Gateway, error) {
+	d, err := control.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("starting the director: %w", err)
+	}
+	now := time.Now()
+	return &Gateway{cfg: cfg, director: d, base: now, baseUnix: time.Duration(now.UnixNano()),
+		requests: map[string]*Request{}, over: map[string]*Request{}}, nil
+}
+
+// Clock turns a time into the director's clock.
+func (g *Gateway) Clock(t time.Time) time.Duration { return g.baseUnix + t.Sub(g.base) }
+
+func (g *Gateway) now() time.Duration { return g.Clock(g.cfg.Loop.Now()) }
+
+// Open is the number of requests that still await their answer.
+func (g *Gateway) Open() int { return len(g.requests) }
+
+// Members tells the director of a list of stores.
+func (g *Gateway) Members(m control.Members) { g.handle(event{Event: m}) }
+
+// Purge tells the director of a purge.
+func (g *Gateway) Purge(p control.Purge) {
+	g.Counters.Purges++
+	g.handle(event{Event: p})
+}
+
+// Heard tells the director of a peer's message.
+func (g *Gateway) Heard(from int, data string) {
+	g.Counters.Heard++
+	g.handle(event{Event: control.Peer{From: from, Data: data}})
+}
+
+// Submit takes a request in. Its Answer is called once on the loop, maybe before Submit returns, unless the
+// front abandons the request first.
+func (g *Gateway) Submit(r *Request) {
+	g.serial++
+	r.id = strconv.FormatUint(g.serial, 36)
+	g.Counters.Taken++
+	g.requests[r.id] = r
+	g.held += len(r.Body)
+	if g.cfg.MaxOpen > 0 && len(g.requests) > g.cfg.MaxOpen || g.cfg.MaxBytes > 0 && g.held > g.cfg.MaxBytes {
+		g.answer(r, Answer{Outcome: Refused, RetryAfter: g.cfg.Settings.MaxRetryAfter, Harmless: true})
+		return
+	}
+	// Guards the one answer by the deadline, whatever the director does: it is due Settings.Step earlier.
+	r.expiry = g.cfg.Loop.At(r.Deadline, func() { g.expire(r) })
+	g.handle(event{request: r, Event: control.Request{ID: r.id, Class: r.Class, Tenant: r.Tenant,
+		Object: r.Object, Part: r.Part, Group: r.Group, Deadline: g.Clock(r.Deadline), Retry: r.Retry,
+		Write: !g.safe(r.Class)}})
+}
+
+// Abandon says that the client left: nothing is owed to it, and what is out for it is given up.
+func (g *Gateway) Abandon(r *Request) {
+	if r.answered {
+		return
+	}
+	g.Counters.Gone++
+	g.finish(r)
+	g.handle(event{Event: control.Gone{ID: r.id}})
+	g.giveUp(r)
+}
+
+// expire answers a request at its deadline, which the director has let pass.
+func (g *Gateway) expire(r *Request) {
+	if r.answered {
+		return
+	}
+	harmless := g.safe(r.Class)
+	g.answer(r, Answer{Outcome: Expired, Harmless: harmless, RetryAfter: g.cfg.Settings.MaxRetryAfter / 2})
+	g.handle(event{Event: control.Gone{ID: r.id}})
+	g.giveUp(r)
+}
+
+// safe says whether a class's requests may be repeated freely. An unknown class never runs.
+func (g *Gateway) safe(class string) bool {
+	for _, c := range g.cfg.Settings.Classes {
+		if c.Name == class {
+			return c.Effect == control.Safe
+		}
+	}
+	return true
+}
+
+// giveUp ends the attempts of a request that nobody waits for.
+func (g *Gateway) giveUp(r *Request) {
+	for _, a := range r.attempts {
+		g.cancel(a, control.Cancelled)
+	}
+}
+
+// answer gives a request its final answer, unless it has had one or its client has left. Guards against a
+// late second answer: of two attempts, or of one that crosses the deadline.
+func (g *Gateway) answer(r *Request, a Answer) {
+	if r.answered {
+		return
+	}
+	g.finish(r)
+	g.Counters.Answered[a.Outcome]++
+	r.Answer(a)
+}
+
+func (g *Gateway) finish(r *Request) {
+	r.answered = true
+	r.expiry.Stop()
+	g.held -= len(r.Body)
+	delete(g.requests, r.id)
+	if r.out > 0 {
+		g.over[r.id] = r
+	}
+}
+
+// Clear is asked right before an attempt is written: connecting or queueing took time, in which its store or
+// source may have begun to drain, the object may have been purged, or the deadline may have passed. It brings
+// the attempt up to date, or reports false once it has ended it as not sent.
+func (g *Gateway) Clear(a *Attempt) bool {
+	if a.ended {
+		return false
+	}
+	age, ok := g.director.Recheck(g.now(), a.Request.id, a.number)
+	if !ok || a.Request.answered || !a.Expiry.After(g.cfg.Loop.Now()) {
+		g.Counters.Withheld++
+		g.Ended(a, Result{Status: control.NotSent})
+		return false
+	}
+	a.MaxAge = age
+	return true
+}
+
+// Ended takes in how an attempt ended. The first success is the request's answer.
+func (g *Gateway) Ended(a *Attempt, res Result) {
+	if a.ended {
+		return
+	}
+	r := a.Request
+	a.ended = true
+	a.timer.Stop()
+	g.Counters.Ended[res.Status]++
+	if r.out--; r.out == 0 {
+		delete(g.over, r.id)
+	}
+	if res.Status == control.OK && !r.answered {
+		ans := Answer{Outcome: Served, Body: res.Body, Tag: res.Tag}
+		if res.Unchanged {
+			ans.Outcome = Unchanged
+		}
+		g.answer(r, ans)
+	}
+	g.handle(event{Event: control.Outcome{ID: r.id, Attempt: a.number, Server: a.Server, Status: res.Status,
+		Note: res.Note, Final: r.answered, Latency: g.cfg.Loop.Now().Sub(a.sent), Load: res.Load}})
+}
+
+// cancel stops waiting for an attempt and says how it ended.
+func (g *Gateway) cancel(a *Attempt, as control.Status) {
+	if !a.ended {
+		g.cfg.Backend.Cancel(a)
+		g.Ended(a, Result{Status: as})
+	}
+}
+
+// handle gives an event to the director and carries out what it wants. What happens meanwhile waits for its
+// turn, so that the director sees every event whole and in order.
+func (g *Gateway) handle(e event) {
+	g.events = append(g.events, e)
+	if g.running {
+		return
+	}
+	g.running = true
+	for len(g.events) > 0 {
+		e := g.events[0]
+		g.events = g.events[1:]
+		for _, a := range g.decide(e) {
+			g.carryOut(a)
+		}
+	}
+	g.running, g.events = false, nil
+}
+
+// decide asks the director. Guards against a panic in it: the request at hand fails, the gateway lives on.
+func (g *Gateway) decide(e event) (actions []control.Action) {
+	defer func() {
+		if p := recover(); p != nil {
+			g.Counters.Panics++
+			g.cfg.Log.WithField("event", fmt.Sprintf("%T", e.Event)).Errorf("the director broke: %v\n%s", p, debug.Stack())
+			actions = nil
+			if e.request != nil {
+				g.answer(e.request, Answer{Outcome: Failed})
+			}
+		}
+	}()
+	g.actions = g.director.Handle(g.now(), e.Event, g.actions[:0])
+	return g.actions
+}
+
+func (g *Gateway) carryOut(a control.Action) {
+	switch a := a.(type) {
+	case control.Ask:
+		g.ask(a)
+	case control.Refuse:
+		if r := g.requests[a.ID]; r != nil {
+			g.answer(r, Answer{Outcome: Refused, RetryAfter: a.After, Harmless: true})
+		}
+	case control.Fail:
+		if r := g.requests[a.ID]; r != nil {
+			g.answer(r, Answer{Outcome: Failed})
+		}
+	case control.Cancel:
+		if at := g.attempt(a.ID, a.Attempt); at != nil {
+			g.cancel(at, control.Cancelled)
+		}
+	case control.Wake:
+		at := g.base.Add(a.At - g.baseUnix)
+		g.cfg.Loop.At(at, func() { g.handle(event{Event: control.Timer{Token: a.Token}}) })
+	case control.Tell:
+		if g.cfg.Peers != nil {
+			g.Counters.Told++
+			g.cfg.Peers.Tell(a.To, a.Data)
+		}
+	case control.Log:
+		g.cfg.Log.Info(a.Text)
+	case control.Probe, control.Watch: // the platform allows no probes, and pushes the list
+	}
+}
+
+// ask starts an attempt. Guards the rule against sending for a finished request: it ends as not sent.
+func (g *Gateway) ask(a control.Ask) {
+	r := g.requests[a.ID]
+	if r == nil {
+		return
+	}
+	now := g.cfg.Loop.Now()
+	at := &Attempt{Request: r, Server: a.Server, Source: a.Source, Keep: a.Keep, MaxAge: a.MaxAge, Join: a.Join,
+		Held: a.OnlyHeld, NoCopy: a.NoCopy, Renew: a.Renew, Expiry: r.Deadline, number: len(r.attempts), sent: now}
+	if a.Source == a.Server {
+		at.Source = ""
+	}
+	if a.Timeout > 0 && now.Add(a.Timeout).Before(at.Expiry) {
+		at.Expiry = now.Add(a.Timeout)
+	}
+	r.attempts = append(r.attempts, at)
+	r.out++
+	g.Counters.Attempts++
+	at.timer = g.cfg.Loop.At(at.Expiry, func() { g.cancel(at, control.TimedOut) })
+	g.cfg.Backend.Send(at)
+}
+
+// attempt finds an attempt of an open request. Those of finished ones are found through their request.
+func (g *Gateway) attempt(id string, number int) *Attempt {
+	r := g.requests[id]
+	if r == nil {
+		r = g.over[id]
+	}
+	if r == nil || number < 0 || number >= len(r.attempts) {
+		return nil
+	}
+	return r.attempts[number]
+}
+
+// Close answers all that is still open, for a program that must end now.
+func (g *Gateway) Close() {
+	for _, r := range g.requests {
+		g.expire(r)
+	}
+}
+
+var statusNames = [...]string{"ok", "error", "turned_away", "timed_out", "not_connected", "reset", "cancelled",
+	"not_sent", "miss"}
+
+// All returns the counters by name.
+func (c *Counters) All() map[string]uint64 {
+	all := map[string]uint64{"taken": c.Taken, "gone": c.Gone, "attempts": c.Attempts, "withheld": c.Withheld,
+		"told": c.Told, "heard": c.Heard, "purges": c.Purges, "panics": c.Panics}
+	for i, n := range c.Answered {
+		all["answered_"+Outcome(i).String()] = n
+	}
+	for i, n := range c.Ended {
+		all["ended_"+statusNames[i]] = n
+	}
+	return all
+}
--- /dev/null
+++ b/gateway/loop.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"container/heap"
+	"sync"
+	"time"
+)
+
+// Loop is the one event loop that owns a gateway's state. Whatever happens elsewhere reaches it by
+// [Loop.Post]; everything else here may be called only from functions that the loop runs. Its one heap holds
+// every deadline and wake. The zero value is not usable; call [NewLoop].
+type Loop struct {
+	mu     sync.Mutex
+	queue  []func()
+	wake   chan struct{}
+	closed bool
+
+	now    time.Time
+	timers timerHeap
+	order  uint64
+}
+
+// NewLoop returns a loop that [Loop.Run] starts.
+func NewLoop() *Loop {
+	return &Loop{wake: make(chan struct{}, 1), now: time.Now()}
+}
+
+// Post has the loop run f after all that was posted before. It may be called from any goroutine, and never
+// blocks. It reports false, and drops f, once the loop is closed.
+func (l *Loop) Post(f func()) bool {
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return false
+	}
+	l.queue = append(l.queue, f)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// Close ends the loop after the function that runs now; what was posted and is still due is dropped.
+func (l *Loop) Close() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Now is the time at which the present function began to run. It never goes back.
+func (l *Loop) Now() time.Time { return l.now }
+
+// At has the loop run f at t, or as soon after as it can.
+func (l *Loop) At(t time.Time, f func()) *Timer {
+	l.order++
+	timer := &Timer{at: t, order: l.order, run: f, loop: l}
+	heap.Push(&l.timers, timer)
+	return timer
+}
+
+// After is At for a span from now.
+func (l *Loop) After(d time.Duration, f func()) *Timer { return l.At(l.now.Add(d), f) }
+
+// Run runs the loop until it is closed.
+func (l *Loop) Run() {
+	clock := time.NewTimer(time.Hour)
+	defer clock.Stop()
+	var batch []func()
+	for {
+		l.mu.Lock()
+		batch, l.queue = l.queue, batch[:0]
+		closed := l.closed
+		l.mu.Unlock()
+		if closed {
+			return
+		}
+		for i, f := range batch {
+			l.now = time.Now()
+			f()
+			batch[i] = nil
+		}
+		l.now = time.Now()
+		for len(l.timers) > 0 && !l.timers[0].at.After(l.now) {
+			t := heap.Pop(&l.timers).(*Timer)
+			t.run()
+			l.now = time.Now()
+		}
+		if len(batch) > 0 { // more may have come meanwhile
+			continue
+		}
+		wait := time.Hour
+		if len(l.timers) > 0 {
+			wait = l.timers[0].at.Sub(l.now)
+		}
+		clock.Reset(wait)
+		select {
+		case <-l.wake:
+		case <-clock.C:
+		}
+	}
+}
+
+// Timer is one entry of a loop's heap.
+type Timer struct {
+	at    time.Time
+	order uint64
+	run   func()
+	loop  *Loop
+	index int // place in the heap; -1: no longer there
+}
+
+// Stop takes the timer off the heap. A nil or spent timer is left alone.
+func (t *Timer) Stop() {
+	if t != nil && t.index >= 0 {
+		heap.Remove(&t.loop.timers, t.index)
+	}
+}
+
+// timerHeap orders timers by time, and equal ones by when they were set.
+type timerHeap []*Timer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].order < h[j].order
+}
+func (h timerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *timerHeap) Push(x any) {
+	t := x.(*Timer)
+	t.index = len(*h)
+	*h = append(*h, t)
+}
+func (h *timerHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1], t.index = nil, -1
+	*h = old[:len(old)-1]
+	return t
+}
--- /dev/null
+++ b/gateway/types.go
@@ -0,0 +1,105 @@
+// Package gateway is the core of larchusher: requests, the attempts made for them, how those end, and the
+// one final answer each request gets. It knows no wire, socket or encoding. A front submits requests and
+// takes answers, a [Backend] carries attempts to stores, and a director of package control makes every
+// decision in between.
+//
+// All of it runs on one [Loop].
+package gateway
+
+import (
+	"time"
+
+	"larchusher/control"
+)
+
+// Request is what a front takes in. The fields above the gap are the front's to fill in.
+type Request struct {
+	Ref      string // the client's own id, passed on to stores unchanged
+	Class    string
+	Tenant   string
+	Object   string
+	Part     int
+	Group    int
+	Key      string // idempotency key, in keyed classes
+	Have     string // tag of a copy that the client holds
+	Body     []byte
+	Retry    bool
+	Deadline time.Time // when the client stops waiting
+	Answer   func(Answer)
+
+	id       string
+	answered bool
+	attempts []*Attempt
+	out      int // attempts that have not ended
+	expiry   *Timer
+}
+
+// Outcome is the kind of a final answer.
+type Outcome int
+
+// The outcomes of a request.
+const (
+	Served    Outcome = iota // Body holds the object's bytes
+	Unchanged                // the copy that the client holds is the one
+	Refused                  // trying again is harmless, after RetryAfter
+	Failed                   // it may have run
+	Expired                  // no answer in time; as Failed, or as Refused where Harmless is set
+)
+
+// String names an outcome, as the counters do.
+func (o Outcome) String() string {
+	return [...]string{"served", "unchanged", "refused", "failed", "expired"}[o]
+}
+
+// Answer is the one final answer to a request.
+type Answer struct {
+	Outcome    Outcome
+	Body       []byte
+	Tag        string // of the copy served
+	RetryAfter time.Duration
+	Harmless   bool // trying again is harmless
+}
+
+// Attempt is one sending of a request to a store.
+type Attempt struct {
+	Request *Request
+	Server  string // id of the store
+	Source  string // who fills a miss; empty: nobody
+	Keep    int
+	MaxAge  time.Duration // oldest copy that will do; 0: the class's own limit
+	Join    bool
+	Held    bool // the source gives only what it holds
+	NoCopy  bool
+	Renew   bool
+	Expiry  time.Time // when to stop waiting
+
+	// Wire belongs to the backend.
+	Wire any
+
+	number int
+	sent   time.Time
+	ended  bool
+	timer  *Timer
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Status    control.Status
+	Note      control.Note
+	Load      []float64
+	Body      []byte
+	Tag       string
+	Unchanged bool // with control.OK: the client's copy is the one
+}
+
+// Backend carries attempts to stores. It calls [Gateway.Clear] right before the first byte of an attempt
+// leaves, and [Gateway.Ended] once for each attempt that was not cancelled.
+type Backend interface {
+	Send(a *Attempt)
+	Cancel(a *Attempt) // nothing more is wanted of a
+}
+
+// Peers carries messages to the other gateways. To is a peer's number or control.Everyone.
+type Peers interface {
+	Tell(to int, data string)
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,137 @@
+// Package config is the one place where configuration is read, checked and given defaults.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"larchusher/control"
+	"larchusher/internal/net/journal"
+	"larchusher/internal/wire"
+)
+
+// Defaults for what the configuration leaves out.
+const (
+	defaultMemoryMB   = 192
+	defaultSockets    = 1024
+	defaultCores      = 1
+	defaultStreams    = 32
+	defaultConnect    = 400 * time.Millisecond
+	defaultKeepAlive  = 30 * time.Second
+	defaultMostHeld   = 20000
+	environmentPrefix = "BALANCER_"
+)
+
+// Limits are what the platform lets the program use.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Gateway is the configuration of one gateway.
+type Gateway struct {
+	Name       string          `json:"name"`
+	Listen     string          `json:"listen"`
+	SeedText   string          `json:"seed"`
+	Limits     Limits          `json:"limits"`
+	PeerListen string          `json:"peer_listen"`
+	Peers      []string        `json:"peers"`
+	PeersAll   string          `json:"peers_all"`
+	Journal    string          `json:"journal"`
+	Known      journal.Known   `json:"known"`
+	Raw        json.RawMessage `json:"settings"`
+
+	Seed     uint64           `json:"-"`
+	Settings control.Settings `json:"-"`
+	Sockets  wire.Sockets     `json:"-"`
+}
+
+// Load reads the configuration that the environment names: the file in BALANCER_CONFIG, over which
+// BALANCER_NAME and BALANCER_LISTEN go.
+func Load(env func(string) string) (*Gateway, error) {
+	path := env(environmentPrefix + "CONFIG")
+	if path == "" {
+		return nil, errors.New(environmentPrefix + "CONFIG is not set: it names the configuration file")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("%sCONFIG: %w", environmentPrefix, err)
+	}
+	c, err := Parse(data, env(environmentPrefix+"NAME"), env(environmentPrefix+"LISTEN"))
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse reads a configuration. A name and an address to listen on, if given, go before those in it.
+func Parse(data []byte, name, listen string) (*Gateway, error) {
+	var c Gateway
+	if err := json.Unmarshal(data, &c); err != nil {
+		return nil, err
+	}
+	if name != "" {
+		c.Name = name
+	}
+	if listen != "" {
+		c.Listen = listen
+	}
+	for _, a := range [...]struct {
+		key, value string
+		needed     bool
+	}{{"listen", c.Listen, true}, {"journal", c.Journal, true}, {"peer_listen", c.PeerListen, false},
+		{"peers_all", c.PeersAll, false}} {
+		if a.value == "" && !a.needed {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return nil, fmt.Errorf("%s: %w", a.key, err)
+		}
+	}
+	for i, p := range c.Peers {
+		if _, err := netip.ParseAddrPort(p); err != nil {
+			return nil, fmt.Errorf("peers[%d]: %w", i, err)
+		}
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(c.SeedText, 16, 64); err != nil && c.SeedText != "" {
+		return nil, fmt.Errorf("seed: %w", err)
+	}
+	if len(c.Raw) == 0 {
+		return nil, errors.New("settings: missing")
+	}
+	if c.Settings, c.Sockets, err = wire.ReadSettings(c.Raw); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	c.Raw = nil
+	switch {
+	case c.Limits.Cores < 0:
+		return nil, errors.New("limits.cores: negative")
+	case c.Limits.MemoryMB < 0:
+		return nil, errors.New("limits.memory_mb: negative")
+	case c.Limits.Sockets < 0:
+		return nil, errors.New("limits.sockets: negative")
+	case c.Sockets.StreamsPerConn < 0:
+		return nil, errors.New("settings.limits.streamsPerConn: negative")
+	}
+	orDefault(&c.Limits.Cores, defaultCores)
+	orDefault(&c.Limits.MemoryMB, defaultMemoryMB)
+	orDefault(&c.Limits.Sockets, defaultSockets)
+	orDefault(&c.Sockets.StreamsPerConn, defaultStreams)
+	orDefault(&c.Sockets.ConnectTimeout, defaultConnect)
+	orDefault(&c.Sockets.KeepAlive, defaultKeepAlive)
+	orDefault(&c.Sockets.MostHeld, defaultMostHeld)
+	return &c, nil
+}
+
+func orDefault[T int | float64 | time.Duration](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
--- /dev/null
+++ b/internal/net/msgpackrpc/front.go
@@ -0,0 +1,225 @@
+package msgpackrpc
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"larchusher/gateway"
+	"larchusher/internal/net/transport"
+)
+
+const (
+	openMost  = 32               // requests open on one connection; further ones are refused
+	idleMost  = 30 * time.Second // clients close sooner; this is for those that vanished
+	sweep     = 5 * time.Second
+	errorBack = "Backoff" // refused
+	errorLost = "Lost"    // failed
+)
+
+// Front takes requests from the platform's clients.
+type Front struct {
+	loop    *gateway.Loop
+	gateway *gateway.Gateway
+	log     logrus.FieldLogger
+	conns   map[*conn]bool
+
+	Malformed uint64 // connections closed for what they sent
+	Excess    uint64 // requests beyond those that a connection may have open
+}
+
+// New returns a front. Its Accept makes the handlers of a listener.
+func New(loop *gateway.Loop, g *gateway.Gateway, log logrus.FieldLogger) *Front {
+	f := &Front{loop: loop, gateway: g, log: log, conns: map[*conn]bool{}}
+	loop.After(sweep, f.sweep)
+	return f
+}
+
+// Accept returns the callbacks of a new connection.
+func (f *Front) Accept() transport.Handler {
+	return &conn{front: f, open: map[uint64]*gateway.Request{}}
+}
+
+// Idle says whether all that was answered has left.
+func (f *Front) Idle() bool {
+	for c := range f.conns {
+		if c.tc.Waiting() > 0 || len(c.open) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// sweep closes connections on which nothing has happened for long.
+func (f *Front) sweep() {
+	for c := range f.conns {
+		if len(c.open) == 0 && f.loop.Now().Sub(c.active) > idleMost {
+			c.tc.Close(errors.New("idle"))
+		}
+	}
+	f.loop.After(sweep, f.sweep)
+}
+
+// conn is one client's connection.
+type conn struct {
+	front *Front
+	buf   []byte // poller: bytes of a message that has not come whole
+
+	tc     *transport.Conn // loop: the rest
+	open   map[uint64]*gateway.Request
+	active time.Time
+	gone   bool
+}
+
+// OnBytes cuts what came into messages. A message that has come whole carries the time at which it did.
+func (c *conn) OnBytes(tc *transport.Conn, b []byte, at time.Time) error {
+	if len(c.buf) > 0 {
+		c.buf = append(c.buf, b...)
+		b = c.buf
+	}
+	var batch []message
+	var bad error
+	for len(b) > 0 {
+		rest, err := skip(b, 0)
+		if errors.Is(err, errShort) && len(b) <= frameMost {
+			break
+		}
+		if err == nil {
+			var m message
+			if m, err = decode(b[:len(b)-len(rest)]); err == nil {
+				m.body = append([]byte(nil), m.body...) // the buffer is used again
+				batch = append(batch, m)
+				b = rest
+				continue
+			}
+		}
+		bad = fmt.Errorf("malformed message: %w", err)
+		break
+	}
+	if len(b) == 0 && cap(c.buf) > 2*frameMost {
+		c.buf = nil
+	}
+	c.buf = append(c.buf[:0], b...)
+	c.front.loop.Post(func() {
+		if bad != nil {
+			c.front.Malformed++
+		}
+		c.take(tc, batch, at)
+	})
+	return bad
+}
+
+// OnClosed gives up what is open on the connection.
+func (c *conn) OnClosed(_ *transport.Conn, _ error) {
+	c.front.loop.Post(func() {
+		c.gone = true
+		delete(c.front.conns, c)
+		for id, r := range c.open {
+			delete(c.open, id)
+			c.front.gateway.Abandon(r)
+		}
+	})
+}
+
+func (c *conn) take(tc *transport.Conn, batch []message, at time.Time) {
+	if c.gone {
+		return
+	}
+	c.tc, c.active = tc, c.front.loop.Now()
+	c.front.conns[c] = true
+	for _, m := range batch {
+		switch {
+		case m.kind == typeNotify && m.method == "cancelRequest":
+			if r := c.open[m.number]; r != nil {
+				delete(c.open, m.number)
+				c.front.gateway.Abandon(r)
+			}
+		case m.kind == typeNotify: // unknown notifications are passed over
+		case m.method == "alive":
+			b := append(appendResponse(nil, m.id), 0xc0, 0x92, 0xc3)
+			_ = tc.Write(appendFields(b, "", ""))
+		default:
+			c.request(m, at)
+		}
+	}
+}
+
+// request hands a request in. It counts its time from when its last byte came.
+func (c *conn) request(m message, at time.Time) {
+	if c.open[m.id] != nil {
+		c.front.Malformed++
+		c.tc.Close(fmt.Errorf("message id %d is open already", m.id))
+		return
+	}
+	r := &gateway.Request{Ref: m.fields["txn"], Class: m.method, Object: m.fields["item"],
+		Key: m.fields["unique"], Have: m.fields["mine"], Retry: m.fields["second"] == "1", Body: m.body}
+	limit, err := strconv.ParseUint(m.fields["limit"], 10, 31)
+	number := func(name string) (n int) {
+		if s := m.fields[name]; s != "" && err == nil {
+			n, err = strconv.Atoi(s)
+		}
+		return n
+	}
+	r.Part, r.Group = number("n"), number("shard")
+	switch {
+	case !plain(r.Ref) || !plain(r.Object) || r.Key != "" && !plain(r.Key) || r.Have != "" && !plain(r.Have):
+		err = errors.New("a field that cannot be passed on")
+	case r.Part < 0 || r.Group < 0:
+		err = errors.New("a negative number")
+	}
+	if err != nil {
+		c.front.log.WithError(err).Debug("a request that cannot be read")
+		c.fail(m.id, errorLost, "", "")
+		return
+	}
+	if len(c.open) >= openMost {
+		c.front.Excess++
+		c.fail(m.id, errorBack, "later", "100")
+		return
+	}
+	r.Deadline = at.Add(time.Duration(limit) * time.Millisecond)
+	r.Answer = func(a gateway.Answer) { c.answer(m.id, a) }
+	c.open[m.id] = r
+	c.front.gateway.Submit(r)
+}
+
+// plain says whether s can stand in a field of any wire that it is passed on to.
+func plain(s string) bool {
+	for i := 0; i < len(s); i++ {
+		if c := s[i]; !(c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-' ||
+			c == '_' || c == '.') {
+			return false
+		}
+	}
+	return s != "" && len(s) <= 128
+}
+
+func (c *conn) answer(id uint64, a gateway.Answer) {
+	delete(c.open, id)
+	switch {
+	case c.gone:
+	case a.Outcome == gateway.Served:
+		head := append(appendResponse(make([]byte, 0, 16), id), 0xc0, 0x92)
+		_ = c.tc.Write(appendBinHead(head, len(a.Body)), a.Body, []byte{0x80})
+	case a.Outcome == gateway.Unchanged:
+		b := appendBinHead(append(appendResponse(nil, id), 0xc0, 0x92), 0)
+		_ = c.tc.Write(appendFields(b, "still", "1"))
+	case a.Harmless:
+		name, value := "", ""
+		if later := a.RetryAfter.Milliseconds(); later > 0 {
+			name, value = "later", strconv.FormatInt(later, 10)
+		}
+		c.fail(id, errorBack, name, value)
+	default:
+		c.fail(id, errorLost, "", "")
+	}
+}
+
+// fail answers with an error and at most one field.
+func (c *conn) fail(id uint64, word, name, value string) {
+	b := appendText(append(appendResponse(nil, id), 0x92), word)
+	_ = c.tc.Write(append(appendFields(b, name, value), 0xc0))
+}
--- /dev/null
+++ b/internal/net/peers/peers.go
@@ -0,0 +1,104 @@
+// Package peers carries datagrams between the gateways of a tier.
+package peers
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+
+	"github.com/sirupsen/logrus"
+
+	"larchusher/control"
+	"larchusher/gateway"
+)
+
+// most is the length of a datagram; a longer one breaks the platform's rule.
+const most = 256
+
+// Link is the one socket for all peers. nbio gives each remote end of a UDP socket a connection of its own
+// and none to one that has not spoken first, so this is the standard library's, with one reader.
+type Link struct {
+	conn *net.UDPConn
+	all  netip.AddrPort
+	to   []netip.AddrPort
+	from map[netip.AddrPort]int
+	log  logrus.FieldLogger
+
+	Sent, Heard, Dropped uint64 // the loop's
+}
+
+// Open listens on addr. Peers are known by their place in list; all reaches every one of them.
+func Open(addr string, list []string, all string, log logrus.FieldLogger) (*Link, error) {
+	l := &Link{from: map[netip.AddrPort]int{}, log: log}
+	for i, s := range list {
+		a, err := netip.ParseAddrPort(s)
+		if err != nil {
+			return nil, fmt.Errorf("peers[%d]: %w", i, err)
+		}
+		l.to = append(l.to, a)
+		l.from[a] = i
+	}
+	if all != "" {
+		a, err := netip.ParseAddrPort(all)
+		if err != nil {
+			return nil, fmt.Errorf("peers_all: %w", err)
+		}
+		l.all = a
+	}
+	a, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, fmt.Errorf("peer_listen: %w", err)
+	}
+	if l.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(a)); err != nil {
+		return nil, fmt.Errorf("listening for peers: %w", err)
+	}
+	return l, nil
+}
+
+// Read hands each message to heard, on the loop. It returns when the link is closed.
+func (l *Link) Read(loop *gateway.Loop, heard func(from int, data string)) {
+	buf := make([]byte, most+1)
+	for {
+		n, addr, err := l.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // a peer's port was closed, say
+			continue
+		}
+		from, known := l.from[netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())]
+		data := string(buf[:n])
+		loop.Post(func() {
+			if !known || len(data) > most { // only peers are heard
+				l.Dropped++
+				return
+			}
+			l.Heard++
+			heard(from, data)
+		})
+	}
+}
+
+// Tell sends a message to one peer, or to all of them. It may get lost.
+func (l *Link) Tell(to int, data string) {
+	addr := l.all
+	if to != control.Everyone {
+		if to < 0 || to >= len(l.to) {
+			return
+		}
+		addr = l.to[to]
+	}
+	if len(data) > most || !addr.IsValid() {
+		l.Dropped++
+		return
+	}
+	if _, err := l.conn.WriteToUDPAddrPort([]byte(data), addr); err != nil {
+		l.Dropped++
+		return
+	}
+	l.Sent++
+}
+
+// Close ends the link.
+func (l *Link) Close() { _ = l.conn.Close() }
--- /dev/null
+++ b/internal/net/resp/pool.go
@@ -0,0 +1,466 @@
+package resp
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"larchusher/control"
+	"larchusher/gateway"
+	"larchusher/internal/net/transport"
+)
+
+const (
+	sweep     = 100 * time.Millisecond
+	silence   = 700 * time.Millisecond // with work out and no byte for so long, a connection is tested;
+	testFor   = time.Second            // without an answer to that, it is given up
+	quitKept  = 10 * time.Second       // an id given up on a connection is not used there again for so long
+	idleShare = 0.8                    // of the keep-alive time after which an idle connection is closed
+)
+
+// Config says how stores are spoken to.
+type Config struct {
+	Streams        int // attempts on one connection at once
+	ConnectTimeout time.Duration
+	KeepAlive      time.Duration
+	Conns          int // connections held at once
+	LoadFields     []string
+}
+
+// Counters count what went on with stores.
+type Counters struct {
+	Dialled, Refused, Broken   uint64 // connections: begun, not come up, lost with work out
+	Written, Given, Late, Noop uint64 // attempts written, given up, answers that came too late; tests
+}
+
+// Gateway is what the pool needs of its gateway.
+type Gateway interface {
+	Clear(*gateway.Attempt) bool
+	Ended(*gateway.Attempt, gateway.Result)
+}
+
+// Pool holds the connections to all stores. It lives on the loop.
+type Pool struct {
+	Gateway  Gateway // to be set before anything is sent
+	Counters Counters
+
+	cfg    Config
+	loop   *gateway.Loop
+	engine *transport.Engine
+	log    logrus.FieldLogger
+	stores map[string]*store
+	conns  int
+	tests  uint64
+}
+
+// New returns an empty pool.
+func New(cfg Config, loop *gateway.Loop, engine *transport.Engine, log logrus.FieldLogger) *Pool {
+	p := &Pool{cfg: cfg, loop: loop, engine: engine, log: log, stores: map[string]*store{}}
+	loop.After(sweep, p.sweep)
+	return p
+}
+
+// store is one member of the list. Connections belong to it, not to its address: addresses are reused.
+type store struct {
+	id, addr string
+	conns    []*conn
+}
+
+// Place says where a store listens, as the list named it.
+func (p *Pool) Place(id, addr string) {
+	s := p.stores[id]
+	if s == nil {
+		s = &store{id: id}
+		p.stores[id] = s
+	}
+	if s.addr != addr { // it moved: nothing new goes where it was
+		for _, c := range s.conns {
+			c.retired = true
+		}
+		s.addr = addr
+	}
+}
+
+// Remove says that a store is gone from the list. What is out there may still end.
+func (p *Pool) Remove(id string) {
+	if s := p.stores[id]; s != nil {
+		s.addr = ""
+		for _, c := range s.conns {
+			c.retired = true
+		}
+		if len(s.conns) == 0 {
+			delete(p.stores, id)
+		}
+	}
+}
+
+// conn is one connection to a store, or one that is coming up.
+type conn struct {
+	pool    *Pool
+	store   *store
+	parser  parser // poller
+	tc      *transport.Conn
+	waiting []*gateway.Attempt // until it is up
+	open    map[string]*gateway.Attempt
+	quit    map[string]time.Time // ids that were given up here: a late answer must not be taken for another's
+	heard   time.Time            // latest byte, or since when work is out
+	used    time.Time
+	test    string // tag of the test that is out
+	tested  time.Time
+	retired bool // takes nothing new
+	dead    bool
+	timer   *gateway.Timer
+}
+
+// Send queues an attempt at its store, on a connection that is up if there is one.
+func (p *Pool) Send(a *gateway.Attempt) {
+	s := p.stores[a.Server]
+	if s == nil || s.addr == "" { // only what our own list has named
+		p.Gateway.Ended(a, gateway.Result{Status: control.NotConnected})
+		return
+	}
+	c := s.pick(a.Request.Ref, p.cfg.Streams)
+	if c == nil && p.conns < p.cfg.Conns {
+		c = p.dial(s)
+	}
+	if c == nil || c.dead {
+		p.Gateway.Ended(a, gateway.Result{Status: control.NotConnected})
+		return
+	}
+	a.Wire = c
+	if c.tc == nil {
+		c.waiting = append(c.waiting, a)
+		return
+	}
+	c.write(a)
+}
+
+// pick returns the connection with the least out that can take the id, one that is up before one that is not.
+func (s *store) pick(ref string, streams int) *conn {
+	var best *conn
+	for _, c := range s.conns {
+		n := len(c.open) + len(c.waiting)
+		_, quit := c.quit[ref]
+		if c.retired || c.dead || n >= streams || quit || c.open[ref] != nil || c.test != "" ||
+			slices.ContainsFunc(c.waiting, func(a *gateway.Attempt) bool { return a.Request.Ref == ref }) {
+			continue
+		}
+		if best == nil || (c.tc != nil) != (best.tc != nil) && c.tc != nil ||
+			(c.tc != nil) == (best.tc != nil) && n < len(best.open)+len(best.waiting) {
+			best = c
+		}
+	}
+	return best
+}
+
+func (p *Pool) dial(s *store) *conn {
+	c := &conn{pool: p, store: s, open: map[string]*gateway.Attempt{}, quit: map[string]time.Time{},
+		used: p.loop.Now()}
+	s.conns = append(s.conns, c)
+	p.conns++
+	p.Counters.Dialled++
+	// A store that is cut off answers no connect at all, so the time-out is ours.
+	c.timer = p.loop.After(p.cfg.ConnectTimeout, func() { c.end(errors.New("no connection in time")) })
+	p.engine.Dial(s.addr, p.cfg.ConnectTimeout+sweep, c,
+		func(tc *transport.Conn) { p.loop.Post(func() { c.opened(tc) }) },
+		func(err error) { p.loop.Post(func() { c.end(err) }) })
+	return c
+}
+
+// opened writes what waited for the connection.
+func (c *conn) opened(tc *transport.Conn) {
+	if c.dead {
+		tc.Close(errors.New("given up"))
+		return
+	}
+	c.timer.Stop()
+	c.tc, c.heard = tc, c.pool.loop.Now()
+	waiting := c.waiting
+	c.waiting = nil
+	for _, a := range waiting {
+		if !c.dead {
+			c.write(a)
+		} else {
+			c.pool.Gateway.Ended(a, gateway.Result{Status: control.NotConnected})
+		}
+	}
+}
+
+// write sends one attempt, if it may still go.
+func (c *conn) write(a *gateway.Attempt) {
+	if !c.pool.Gateway.Clear(a) {
+		return
+	}
+	now := c.pool.loop.Now()
+	if len(c.open) == 0 {
+		c.heard = now
+	}
+	c.used = now
+	c.open[a.Request.Ref] = a
+	c.pool.Counters.Written++
+	r := a.Request
+	head := append(make([]byte, 0, 256), "*4\r\n"...)
+	for _, s := range [...]string{"ASK", r.Ref, fields(a, now)} {
+		head = append(append(appendLength(head, len(s)), s...), "\r\n"...)
+	}
+	if err := c.tc.Write(appendLength(head, len(r.Body)), r.Body, []byte("\r\n")); err != nil {
+		c.end(err)
+	}
+}
+
+// fields words the fields of an attempt.
+func fields(a *gateway.Attempt, now time.Time) string {
+	r := a.Request
+	b := make([]byte, 0, 192)
+	add := func(name, value string) {
+		if len(b) > 0 {
+			b = append(b, ',')
+		}
+		b = append(append(append(b, name...), '='), value...)
+	}
+	add("lane", r.Class)
+	add("name", r.Object)
+	add("piece", strconv.Itoa(r.Part))
+	add("ttl", strconv.FormatInt(max(1, a.Expiry.Sub(now).Milliseconds()), 10))
+	if r.Key != "" {
+		add("dedupe", r.Key)
+	}
+	if a.Source != "" {
+		add("parent", a.Source)
+	}
+	if a.Keep > 0 {
+		add("shelf", strconv.Itoa(a.Keep))
+	}
+	if a.MaxAge > 0 {
+		add("accept", strconv.FormatInt(max(1, a.MaxAge.Milliseconds()), 10))
+	}
+	var hints []string
+	for _, h := range [...]struct {
+		set  bool
+		word string
+	}{{a.Join, "merge"}, {a.Held, "local"}, {a.NoCopy, "skip"}, {a.Renew, "revalidate"}} {
+		if h.set {
+			hints = append(hints, h.word)
+		}
+	}
+	if len(hints) > 0 {
+		add("hints", strings.Join(hints, "+"))
+	}
+	if r.Have != "" {
+		add("got", r.Have)
+	}
+	return string(b)
+}
+
+// Cancel gives an attempt up: the store is told, if it was written.
+func (p *Pool) Cancel(a *gateway.Attempt) {
+	c, _ := a.Wire.(*conn)
+	if c == nil || c.dead {
+		return
+	}
+	if i := slices.Index(c.waiting, a); i >= 0 {
+		c.waiting = slices.Delete(c.waiting, i, i+1)
+		return
+	}
+	if c.open[a.Request.Ref] != a {
+		return
+	}
+	p.Counters.Given++
+	delete(c.open, a.Request.Ref)
+	c.quit[a.Request.Ref] = p.loop.Now()
+	if err := c.tc.Write(appendCommand(nil, "QUIT", a.Request.Ref)); err != nil {
+		c.end(err)
+	}
+}
+
+// OnBytes cuts what came into answers.
+func (c *conn) OnBytes(tc *transport.Conn, b []byte, at time.Time) error {
+	var batch [][][]byte
+	err := c.parser.feed(b, func(args [][]byte) error {
+		if len(args) != 4 && len(args) != 2 {
+			return fmt.Errorf("an answer of %d strings", len(args))
+		}
+		batch = append(batch, args)
+		return nil
+	})
+	c.pool.loop.Post(func() {
+		c.heard = at
+		for _, args := range batch {
+			if bad := c.answer(args); bad != nil {
+				c.pool.log.WithError(bad).WithField("store", c.store.id).Warn("an answer that cannot be read")
+				tc.Close(bad)
+				c.end(bad)
+				return
+			}
+		}
+	})
+	return err
+}
+
+// OnClosed ends what is out on the connection.
+func (c *conn) OnClosed(_ *transport.Conn, err error) {
+	if err == nil {
+		err = errors.New("closed")
+	}
+	c.pool.loop.Post(func() { c.end(err) })
+}
+
+// end drops the connection. What was written may have run; what was not, has not.
+func (c *conn) end(err error) {
+	if c.dead {
+		return
+	}
+	c.dead = true
+	c.timer.Stop()
+	p := c.pool
+	p.conns--
+	if i := slices.Index(c.store.conns, c); i >= 0 {
+		c.store.conns = slices.Delete(c.store.conns, i, i+1)
+	}
+	if c.store.addr == "" && len(c.store.conns) == 0 && p.stores[c.store.id] == c.store {
+		delete(p.stores, c.store.id)
+	}
+	if c.tc != nil {
+		c.tc.Close(err)
+	} else {
+		p.Counters.Refused++
+	}
+	if len(c.open) > 0 {
+		p.Counters.Broken++
+		p.log.WithError(err).WithFields(logrus.Fields{"store": c.store.id, "out": len(c.open)}).Debug("connection lost")
+	}
+	var out []*gateway.Attempt
+	for _, a := range c.open {
+		out = append(out, a)
+	}
+	slices.SortFunc(out, func(a, b *gateway.Attempt) int { return strings.Compare(a.Request.Ref, b.Request.Ref) })
+	c.open = nil
+	for _, a := range out {
+		p.Gateway.Ended(a, gateway.Result{Status: control.Reset})
+	}
+	waiting := c.waiting
+	c.waiting = nil
+	for _, a := range waiting {
+		p.Gateway.Ended(a, gateway.Result{Status: control.NotConnected})
+	}
+}
+
+var statuses = map[string]control.Status{"DONE": control.OK, "KEEP": control.OK, "LACK": control.Miss,
+	"WAIT": control.TurnedAway, "BROKE": control.ServerError, "PAST": control.NotSent}
+
+var notes = map[string]control.Note{"warm": control.NoteHit, "fill": control.NoteFilled,
+	"piggy": control.NoteJoined, "aged": control.NoteStale}
+
+// answer takes one answer in.
+func (c *conn) answer(args [][]byte) error {
+	if c.dead {
+		return nil
+	}
+	id, word := string(args[0]), string(args[1])
+	if word == "FIT" {
+		if id == c.test {
+			c.test = ""
+		}
+		return nil
+	}
+	status, ok := statuses[word]
+	if !ok || len(args) != 4 {
+		return fmt.Errorf("the answer %.20q", word)
+	}
+	a := c.open[id]
+	if a == nil { // it was given up, and its answer crossed that
+		c.pool.Counters.Late++
+		delete(c.quit, id)
+		return nil
+	}
+	res := gateway.Result{Status: status, Body: args[3], Unchanged: word == "KEEP"}
+	if err := c.fields(string(args[2]), &res); err != nil {
+		return err
+	}
+	if res.Unchanged && a.Request.Have == "" {
+		return errors.New("KEEP without a copy")
+	}
+	delete(c.open, id)
+	c.used = c.pool.loop.Now()
+	c.pool.Gateway.Ended(a, res)
+	return nil
+}
+
+// fields reads the fields of an answer.
+func (c *conn) fields(list string, res *gateway.Result) error {
+	if list == "-" || list == "" {
+		return nil
+	}
+	for f := range strings.SplitSeq(list, ",") {
+		name, value, ok := strings.Cut(f, "=")
+		if !ok {
+			return fmt.Errorf("the field %.40q", f)
+		}
+		switch name {
+		case "why":
+			res.Note = notes[value]
+		case "digest":
+			res.Tag = value
+		case "rep":
+			res.Load = c.load(value)
+		}
+	}
+	return nil
+}
+
+// load reads a load report into the order of the settings.
+func (c *conn) load(report string) []float64 {
+	load := make([]float64, len(c.pool.cfg.LoadFields))
+	for i := range load {
+		load[i] = math.NaN()
+	}
+	for part := range strings.SplitSeq(report, ";") {
+		name, value, _ := strings.Cut(part, ":")
+		x, err := strconv.ParseFloat(value, 64)
+		if i := slices.Index(c.pool.cfg.LoadFields, name); i >= 0 && err == nil {
+			load[i] = x
+		}
+	}
+	return load
+}
+
+// sweep closes idle connections and tests silent ones: a machine that was cut off leaves its connections
+// open without a word.
+func (p *Pool) sweep() {
+	now := p.loop.Now()
+	for _, s := range p.stores {
+		for _, c := range slices.Clone(s.conns) {
+			if c.tc == nil || c.dead {
+				continue
+			}
+			for id, at := range c.quit {
+				if now.Sub(at) > quitKept {
+					delete(c.quit, id)
+				}
+			}
+			switch {
+			case c.test != "" && c.heard.After(c.tested): // any byte will do
+				c.test = ""
+			case c.test != "" && now.Sub(c.tested) > testFor:
+				c.end(errors.New("silent"))
+			case c.test == "" && len(c.open) > 0 && now.Sub(c.heard) > silence:
+				p.tests++
+				p.Counters.Noop++
+				c.test, c.tested = "t"+strconv.FormatUint(p.tests, 10), now
+				if err := c.tc.Write(appendCommand(nil, "NOOP", c.test)); err != nil {
+					c.end(err)
+				}
+			case len(c.open) == 0 && (c.retired ||
+				now.Sub(c.used) > time.Duration(idleShare*float64(p.cfg.KeepAlive))):
+				c.end(errors.New("idle"))
+			}
+		}
+	}
+	p.loop.After(sweep, p.sweep)
+}
--- /dev/null
+++ b/internal/net/transport/transport.go
@@ -0,0 +1,245 @@
+// Package transport runs TCP connections as objects with callbacks, on lesismal/nbio. It reads no protocol.
+package transport
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	readSize   = 64 << 10 // of the one buffer that all connections read into
+	writeMost  = 10 << 20 // bytes that may wait to be written on one connection,
+	totalMost  = 48 << 20 // and on all of them
+	joinedMost = 8 << 10  // pieces up to this size are joined into one write
+)
+
+// Handler has the callbacks of one connection. All run on the engine's poller, one at a time, and must not
+// block. Bytes belong to the engine: they hold until OnBytes returns.
+type Handler interface {
+	OnBytes(c *Conn, b []byte, at time.Time) error // an error closes the connection
+	OnClosed(c *Conn, err error)
+}
+
+// Engine owns the connections of a program.
+type Engine struct {
+	log     logrus.FieldLogger
+	engine  *nbio.Engine
+	waiting atomic.Int64 // bytes that wait to be written
+
+	Opened, Closed atomic.Uint64
+	In, Out        atomic.Uint64 // bytes
+}
+
+// New starts an engine with one poller.
+func New(log logrus.FieldLogger) (*Engine, error) {
+	logging.DefaultLogger = quiet{log}
+	e := &Engine{log: log}
+	e.engine = nbio.NewEngine(nbio.Config{Name: "larchusher", NPoller: 1, ReadBufferSize: readSize,
+		MaxWriteBufferSize: writeMost})
+	e.engine.OnData(func(nc *nbio.Conn, b []byte) {
+		c, ok := nc.Session().(*Conn)
+		if !ok {
+			return
+		}
+		e.In.Add(uint64(len(b)))
+		if err := c.handler.OnBytes(c, b, time.Now()); err != nil {
+			_ = nc.CloseWithError(err)
+		}
+	})
+	e.engine.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
+		e.Out.Add(uint64(n))
+		if c, ok := nc.Session().(*Conn); ok {
+			c.waiting.Add(int64(-n))
+			e.waiting.Add(int64(-n))
+		}
+	})
+	e.engine.OnClose(func(nc *nbio.Conn, err error) {
+		c, ok := nc.Session().(*Conn)
+		if !ok {
+			return
+		}
+		e.Closed.Add(1)
+		e.waiting.Add(-c.waiting.Swap(0))
+		c.handler.OnClosed(c, err)
+	})
+	if err := e.engine.Start(); err != nil {
+		return nil, fmt.Errorf("starting the poller: %w", err)
+	}
+	return e, nil
+}
+
+// Stop closes every connection.
+func (e *Engine) Stop() { e.engine.Stop() }
+
+// Conn is one connection. Write and Close may be called from any goroutine.
+type Conn struct {
+	Remote  string
+	engine  *Engine
+	nc      *nbio.Conn
+	handler Handler
+	waiting atomic.Int64
+}
+
+// Waiting is the number of bytes that wait to be written.
+func (c *Conn) Waiting() int64 { return c.waiting.Load() }
+
+// Write sends the pieces in order, and never blocks. It keeps nothing of them. If more waits than the
+// engine holds, the connection is closed: its other end does not read.
+func (c *Conn) Write(pieces ...[]byte) error {
+	total := 0
+	for _, p := range pieces {
+		total += len(p)
+	}
+	if c.engine.waiting.Load()+int64(total) > totalMost && c.waiting.Load() > 0 {
+		err := fmt.Errorf("%d bytes wait to be written, and %d on this connection",
+			c.engine.waiting.Load(), c.waiting.Load())
+		_ = c.nc.CloseWithError(err)
+		return err
+	}
+	c.waiting.Add(int64(total))
+	c.engine.waiting.Add(int64(total))
+	if len(pieces) > 1 && total <= joinedMost {
+		joined := make([]byte, 0, total)
+		for _, p := range pieces {
+			joined = append(joined, p...)
+		}
+		pieces = [][]byte{joined}
+	}
+	// Guards against nbio's Writev, which loses what follows the piece at which the socket's buffer is full.
+	for _, p := range pieces {
+		if len(p) == 0 {
+			continue
+		}
+		if _, err := c.nc.Write(p); err != nil {
+			return fmt.Errorf("writing to %s: %w", c.Remote, err)
+		}
+	}
+	return nil
+}
+
+// Close ends the connection; OnClosed follows.
+func (c *Conn) Close(err error) { _ = c.nc.CloseWithError(err) }
+
+// Listener accepts connections on one address.
+type Listener struct {
+	l    net.Listener
+	once sync.Once
+}
+
+// Listen accepts connections on addr, and asks handler for the callbacks of each. At most `most` are held
+// open at once; a connection beyond that is closed as it comes.
+func (e *Engine) Listen(addr string, most int, handler func() Handler) (*Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listening on %s: %w", addr, err)
+	}
+	var open atomic.Int64
+	go func() { // one for the listener: nbio's own ends with the engine only
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				if ne, ok := err.(net.Error); ok && ne.Timeout() || isOutOfFiles(err) {
+					time.Sleep(5 * time.Millisecond)
+					continue
+				}
+				return
+			}
+			if open.Add(1) > int64(most) {
+				open.Add(-1)
+				_ = conn.Close()
+				continue
+			}
+			nc, err := nbio.NBConn(conn)
+			if err != nil {
+				open.Add(-1)
+				e.log.WithError(err).Warn("taking a connection over")
+				continue
+			}
+			e.add(e.wrap(nc, &counted{Handler: handler(), open: &open}))
+		}
+	}()
+	return &Listener{l: l}, nil
+}
+
+func isOutOfFiles(err error) bool {
+	oe, ok := err.(*net.OpError)
+	if !ok {
+		return false
+	}
+	se, ok := oe.Err.(interface{ Unwrap() error })
+	return ok && (se.Unwrap() == syscall.EMFILE || se.Unwrap() == syscall.ENFILE)
+}
+
+// counted gives a listener's place back when its connection ends.
+type counted struct {
+	Handler
+	open *atomic.Int64
+}
+
+func (h *counted) OnClosed(c *Conn, err error) {
+	h.open.Add(-1)
+	h.Handler.OnClosed(c, err)
+}
+
+// Addr is the address that is listened on.
+func (l *Listener) Addr() net.Addr { return l.l.Addr() }
+
+// Close stops accepting; open connections stay.
+func (l *Listener) Close() { l.once.Do(func() { _ = l.l.Close() }) }
+
+// wrap makes a Conn, and add has the poller read it.
+func (e *Engine) wrap(nc *nbio.Conn, h Handler) *Conn {
+	c := &Conn{Remote: nc.RemoteAddr().String(), engine: e, nc: nc, handler: h}
+	nc.SetSession(c)
+	_ = nc.SetNoDelay(true)
+	e.Opened.Add(1)
+	return c
+}
+
+func (e *Engine) add(c *Conn) {
+	if _, err := e.engine.AddConn(c.nc); err != nil { // OnClosed has been called
+		e.log.WithError(err).Warn("adding a connection")
+	}
+}
+
+// Dial connects to addr without blocking. Either opened is called and the handler's callbacks follow, or
+// failed is, and nothing ever ran.
+//
+// Guards against nbio's own DialAsync (1.6.8), which connects every IPv4 address as 0.0.0.0, since it takes
+// the first four of the sixteen bytes that net.ResolveTCPAddr returns, and which reports a refused connection
+// as an open one. The standard library's dialer takes its place: a goroutine for each connection that is
+// coming up, none for a request.
+func (e *Engine) Dial(addr string, timeout time.Duration, h Handler, opened func(*Conn), failed func(error)) {
+	go func() {
+		conn, err := net.DialTimeout("tcp", addr, timeout)
+		if err != nil {
+			failed(err)
+			return
+		}
+		nc, err := nbio.NBConn(conn)
+		if err != nil {
+			failed(fmt.Errorf("taking over the connection to %s: %w", addr, err))
+			return
+		}
+		c := e.wrap(nc, h)
+		e.add(c) // it cannot be written before
+		opened(c)
+	}()
+}
+
+// quiet hands nbio's own messages on; what it reports of single connections is told by callbacks anyway.
+type quiet struct{ logrus.FieldLogger }
+
+func (quiet) SetLevel(int)                       {}
+func (q quiet) Debug(f string, v ...interface{}) { q.FieldLogger.Debugf("nbio: "+f, v...) }
+func (q quiet) Info(f string, v ...interface{})  { q.FieldLogger.Debugf("nbio: "+f, v...) }
+func (q quiet) Warn(f string, v ...interface{})  { q.FieldLogger.Warnf("nbio: "+f, v...) }
+func (q quiet) Error(f string, v ...interface{}) { q.FieldLogger.Errorf("nbio: "+f, v...) }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -59,13 +60,17 @@
 		TipMultiple         float64 `json:"tipMultiple"`
 	} `json:"invariants"`
 	Limits struct {
-		Cancelling      bool    `json:"cancelling"`
-		MaxRetryAfterMs float64 `json:"maxRetryAfterMs"`
-		PeerMessages    bool    `json:"peerMessages"`
-		Probing         bool    `json:"probing"`
-		RetryAfter      bool    `json:"retryAfter"`
-		SecondCopies    bool    `json:"secondCopies"`
-		SendCap         int     `json:"sendCap"`
+		Cancelling       bool    `json:"cancelling"`
+		ConnectTimeoutMs float64 `json:"connectTimeoutMs"`
+		KeepaliveMs      float64 `json:"keepaliveMs"`
+		MaxRetryAfterMs  float64 `json:"maxRetryAfterMs"`
+		MostHeld         int     `json:"mostHeld"`
+		PeerMessages     bool    `json:"peerMessages"`
+		Probing          bool    `json:"probing"`
+		RetryAfter       bool    `json:"retryAfter"`
+		SecondCopies     bool    `json:"secondCopies"`
+		SendCap          int     `json:"sendCap"`
+		StreamsPerConn   int     `json:"streamsPerConn"`
 	} `json:"limits"`
 	LoadInfo struct {
 		Fields []string `json:"fields"`
@@ -108,9 +113,33 @@
 	return v
 }
 
+// Sockets are the settings that only a gateway on real sockets needs.
+type Sockets struct {
+	ConnectTimeout time.Duration
+	KeepAlive      time.Duration
+	MostHeld       int // requests open at once
+	StreamsPerConn int // attempts on one connection at once
+}
+
+// ReadSettings reads a settings object by itself, as a real gateway's configuration holds it. An error names
+// the key that was wrong.
+func ReadSettings(object []byte) (control.Settings, Sockets, error) {
+	f := fields{values: []json.RawMessage{object}}
+	var e env
+	f.value(0, "settings", &e, true)
+	s := e.settings(&f)
+	return s, Sockets{ConnectTimeout: duration(e.Limits.ConnectTimeoutMs),
+		KeepAlive: duration(e.Limits.KeepaliveMs), MostHeld: e.Limits.MostHeld,
+		StreamsPerConn: e.Limits.StreamsPerConn}, f.err
+}
+
 func (f *fields) settings(i int, name string) control.Settings {
 	var e env
 	f.value(i, name, &e, true)
+	return e.settings(f)
+}
+
+func (e *env) settings(f *fields) control.Settings {
 	if f.err != nil {
 		return control.Settings{}
 	}
