--- a/control/control.go
+++ b/control/control.go
@@ -815,8 +815,8 @@
 	s.rate = s.recent(now) + work/rateWindow.Seconds()
 }
 
-// Recheck says whether an attempt that waited, for its connection say, may still be written at the given time,
-// and with which age limit: its store or source may drain by now, or its object may have been purged.
+// Recheck says whether an attempt that waited, for its connection say, may still be written at the given
+// time, and with which age limit: its store or source may drain by now, or its object may have been purged.
 func (d *Director) Recheck(now time.Duration, id string, number int) (maxAge time.Duration, ok bool) {
 	r := d.requests[id]
 	if r == nil || number < 0 || number >= len(r.attempts) || r.over {
