Learn sending times from answers where requests tell no sizes

At fault: request() in control.go took SizeKB for the sending time, so it was 0; cost() was then 0 too, no cold budget ever ran out (affordable), and aim() left out the stretch, so every large object counted as late and cut the limits (limit). Ruled out: the budget's arithmetic, which holds with sizes told (TestColdBudget at 400 KB).

Now the quickest answer that an object's part has had is taken for its sending time, the class's mean for one not seen yet, and a tenth of the aim until anything is known.

Tests: TestColdBudget without sizes, TestLargeObjectsAreNotLate; both fail on the old code.

--- a/control/control.go
+++ b/control/control.go
@@ -38,6 +38,7 @@
 	limitLeast  = 2   // a limit is not cut below this, shared by all directors,
 	chanceLeast = 0.1 // nor below this for each
 	limitUp     = 0.4 // in a second of answers in time it grows by this share at most
+	workGuess   = 0.1 // sending time, as a share of the aim, where nothing tells of sizes yet
 	quicker     = 2   // a parent is quicker than another if it waits this many times less
 	coldMargin  = 0.9 // share of a cold server's budget that is spent: peers differ in size
 
@@ -323,15 +324,22 @@
 	}
 	r := &request{Request: q, class: c, start: d.now, luck: d.rng.Float64(),
 		key: mix(hash(q.Object) + uint64(q.Part))}
+	if !c.NeverKept && !q.Write {
+		r.entry = d.visit(r.key)
+	}
 	if d.set.FlowKBps > 0 {
 		r.work = time.Duration(q.SizeKB / d.set.FlowKBps * float64(time.Second))
 	}
+	if q.SizeKB <= 0 { // untold: a guess, which answers correct
+		if r.work = max(c.work, time.Duration(workGuess*float64(c.Aim))); r.entry != nil && r.entry.work > 0 {
+			r.work = r.entry.work
+		}
+	}
 	if c.work == 0 {
 		c.work = r.work
 	}
-	c.work += time.Duration(smooth / 10 * float64(r.work-c.work))
-	if !c.NeverKept && !q.Write {
-		r.entry = d.visit(r.key)
+	if q.SizeKB > 0 {
+		c.work += time.Duration(smooth / 10 * float64(r.work-c.work))
 	}
 	d.token++
 	r.token = d.token
@@ -573,6 +581,14 @@
 		}
 	}
 	e := r.entry
+	if e != nil && o.Status == OK && r.SizeKB <= 0 { // the quickest answer is closest to the sending alone
+		if e.work == 0 || o.Latency < e.work {
+			e.work = o.Latency
+		}
+		if hit {
+			r.class.work += time.Duration(smooth / 10 * float64(e.work-r.class.work))
+		}
+	}
 	if e == nil || o.Status != OK || a.to.role != cache || !hit && a.keep == 0 {
 		return
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -52,6 +52,7 @@
 	d   *Director
 	now time.Duration
 	n   int
+	kb  float64 // size told with each request; 0: none is
 }
 
 func newRig(t *testing.T, change func(*Settings)) *rig {
@@ -64,7 +65,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{t: t, d: d, now: time.Hour}
+	r := &rig{t: t, d: d, now: time.Hour, kb: 400}
 	r.do(Members{Kind: StaleList, Entries: members()})
 	return r
 }
@@ -78,7 +79,7 @@
 	r.n++
 	id := fmt.Sprint("r", r.n)
 	deadline := r.d.classes[class].Deadline
-	return id, first[Ask](r.do(Request{ID: id, Class: class, Object: object, SizeKB: 400,
+	return id, first[Ask](r.do(Request{ID: id, Class: class, Object: object, SizeKB: r.kb,
 		Deadline: r.now + deadline, Write: r.d.classes[class].NeverKept}))
 }
 
@@ -565,9 +566,17 @@
 	return nil
 }
 
-// TestColdBudget sends a cold cache what it may have, and no more in any window.
+// TestColdBudget sends a cold cache what it may have, and no more in any window. ridge-assets tells no
+// sizes: attempts weighed nothing there, and cold caches were pushed over.
 func TestColdBudget(t *testing.T) {
+	for _, kb := range []float64{400, 0} {
+		t.Run(fmt.Sprint(kb, "KB"), func(t *testing.T) { coldBudget(t, kb) })
+	}
+}
+
+func coldBudget(t *testing.T, kb float64) {
 	r := newRig(t, nil)
+	r.kb = kb
 	for i := range 400 { // what warm caches carry
 		r.serve("film", fmt.Sprint("a", i), NoteHit)
 	}
@@ -589,6 +598,24 @@
 	}
 }
 
+// Where sizes aren't told, an object that always takes long is large, not late.
+func TestLargeObjectsAreNotLateWhereSizesAreUntold(t *testing.T) {
+	r := newRig(t, nil)
+	r.kb = 0
+	for range 40 {
+		id, a := r.ask("film", "large")
+		if a == nil {
+			t.Fatal("refused")
+		}
+		r.after(900 * ms).do(Outcome{ID: id, Server: a.Server, Status: OK, Note: NoteHit, Final: true, Latency: 900 * ms})
+	}
+	for _, s := range r.d.servers {
+		if s.held.cut > 0 && s.held.late > 0.1 {
+			t.Errorf("%s counts as late: %+v", s.id, s.held)
+		}
+	}
+}
+
 // hold makes a director hold n hits at the cache that lists the object, whose learnt limit is n.
 func hold(r *rig, object string, n int) string {
 	home := r.serve("film", object, NoteHit).Server
--- a/control/state.go
+++ b/control/state.go
@@ -89,6 +89,7 @@
 	hitAt     time.Duration // latest hit
 	last, avg time.Duration // latest request, and smoothed gap between requests
 	count     float64       // recent requests
+	work      time.Duration // where sizes aren't told: its quickest answer yet
 	in        *server       // whose list holds it
 	inBoot    time.Duration
 	used      *list.Element // its place in the order of use
