Add the signed front: verify and issue URLs, HTTP/1.1, agent and health checks

signedurl/ speaks RFC 9246 (golang-jwt, the algorithm pinned by key, kid rotation) and the edge-auth token. internal/httpapi maps HTTP to the core's terms, for this front and the middleware to come; signedfront is HTTP/1.1 on the same engine, loop and director. A token is checked once, when the request is whole, before the core sees it. Off unless -signed names its file. The core now calls a request given up at its very deadline expired, so that HTTP can say 504.

--- a/cmd/larchusher/main.go
+++ b/cmd/larchusher/main.go
@@ -2,11 +2,14 @@
 package main
 
 import (
+	"errors"
+	"flag"
 	"fmt"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -14,11 +17,15 @@
 
 	"larchusher/gateway"
 	"larchusher/internal/config"
+	"larchusher/internal/httpapi"
+	"larchusher/internal/net/agentcheck"
 	"larchusher/internal/net/journal"
 	"larchusher/internal/net/msgpackrpc"
 	"larchusher/internal/net/peers"
 	"larchusher/internal/net/resp"
+	"larchusher/internal/net/signedfront"
 	"larchusher/internal/net/transport"
+	"larchusher/signedurl"
 )
 
 const (
@@ -51,10 +58,42 @@
 	front  *msgpackrpc.Front
 	feed   *journal.Client
 	link   *peers.Link
+	signed *signedfront.Front // nil: off
 	accept []*transport.Listener
+
+	draining bool
 }
 
 func run(log *logrus.Logger) error {
+	signed := flag.String("signed", "", "file of the signed front, such as deploy/signed.toml; without it that front is off")
+	sign := flag.String("sign", "", "sign this path and query with a key of the signed front, print it, and end")
+	key := flag.String("key", "", "with -sign: id of the key")
+	good := flag.Duration("for", 5*time.Minute, "with -sign: how long the token is good")
+	pattern := flag.String("pattern", "", "with -sign: what else the token is good for")
+	renew := flag.Duration("renew", 0, "with -sign: answers carry a fresh token that is good for so long")
+	flag.Parse()
+	var second *config.Signed
+	if *signed != "" {
+		var err error
+		if second, err = config.LoadSigned(*signed, os.Getenv); err != nil {
+			return err
+		}
+	}
+	if *sign != "" {
+		if second == nil {
+			return errors.New("-sign needs -signed")
+		}
+		issuer, err := signedurl.NewIssuer(second.URLs, *key)
+		if err != nil {
+			return fmt.Errorf("-key: %w", err)
+		}
+		uri, err := issuer.Sign(signedurl.Order{Target: *sign, Pattern: *pattern, Renew: *renew,
+			Expiry: time.Now().Add(*good)})
+		if err == nil {
+			_, err = fmt.Println(uri)
+		}
+		return err
+	}
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -92,11 +131,16 @@
 		go p.link.Read(p.loop, p.gw.Heard)
 	}
 	p.front = msgpackrpc.New(p.loop, p.gw, p.log)
-	l, err := p.engine.Listen(cfg.Listen, third+third/4, p.front.Accept)
+	l, err := p.engine.Listen(cfg.Listen, third+third/4, p.front.Accept, nil)
 	if err != nil {
 		return err
 	}
 	p.accept = append(p.accept, l)
+	if second != nil {
+		if err := p.second(second, cfg); err != nil {
+			return err
+		}
+	}
 	p.log.WithField("listen", l.Addr().String()).Info("serving")
 
 	go p.mind()
@@ -105,6 +149,45 @@
 	return nil
 }
 
+// second starts the front for signed URLs, and what balancers ask.
+func (p *program) second(s *config.Signed, cfg *config.Gateway) error {
+	verifier, err := signedurl.NewVerifier(s.URLs)
+	if err != nil {
+		return err
+	}
+	var issuer *signedurl.Issuer
+	if s.RenewWith != "" {
+		if issuer, err = signedurl.NewIssuer(s.URLs, s.RenewWith); err != nil {
+			return err
+		}
+	}
+	most := cfg.Limits.Sockets / 8
+	p.signed = signedfront.New(p.loop, p.gw, httpapi.New(cfg.Settings, verifier, issuer), cfg.Seed, p.log)
+	check := &agentcheck.Checker{Loop: p.loop, State: func() agentcheck.State {
+		return agentcheck.State{Ready: p.feed.Connected(), Draining: p.draining, Open: p.gw.Open(),
+			Most: cfg.Sockets.MostHeld}
+	}}
+	for _, l := range []struct {
+		addr   string
+		listen func(addr string) (*transport.Listener, error)
+	}{
+		{s.Listen, func(a string) (*transport.Listener, error) { return p.engine.Listen(a, most, p.signed.Accept, nil) }},
+		{s.AgentListen, func(a string) (*transport.Listener, error) { return check.Agent(p.engine, a, 16) }},
+		{s.HTTPListen, func(a string) (*transport.Listener, error) { return check.Health(p.engine, a, 16) }},
+	} {
+		if l.addr == "" {
+			continue
+		}
+		open, err := l.listen(l.addr)
+		if err != nil {
+			return err
+		}
+		p.accept = append(p.accept, open)
+	}
+	p.log.WithField("listen", s.Listen).Info("serving signed URLs")
+	return nil
+}
+
 // mind hands signals to the loop.
 func (p *program) mind() {
 	signals := make(chan os.Signal, 4)
@@ -124,11 +207,15 @@
 // drain goes on accepting for as long as clients may still come, answers all that is open, and ends.
 func (p *program) drain() {
 	p.log.Info("draining")
+	p.draining = true
 	began := p.loop.Now()
 	p.loop.After(graceAfterTerm, func() {
 		for _, l := range p.accept {
 			l.Close()
 		}
+		if p.signed != nil {
+			p.signed.End()
+		}
 		p.finish(began.Add(lastAnswers))
 	})
 }
@@ -140,7 +227,7 @@
 		p.loop.After(flushFor, p.loop.Close)
 		return
 	}
-	if p.gw.Open() == 0 && p.front.Idle() {
+	if p.gw.Open() == 0 && p.front.Idle() && (p.signed == nil || p.signed.Idle()) {
 		p.loop.Close()
 		return
 	}
@@ -165,5 +252,14 @@
 	if p.link != nil {
 		fields["peer_sent"], fields["peer_heard"], fields["peer_dropped"] = p.link.Sent, p.link.Heard, p.link.Dropped
 	}
+	if p.signed != nil {
+		fields["signed_admitted"] = p.signed.Admitted
+		for reason, n := range p.signed.Problems {
+			fields["signed_problem_"+strings.ReplaceAll(reason, " ", "_")] = n
+		}
+		for status, n := range p.signed.Statuses {
+			fields[fmt.Sprint("signed_status_", status)] = n
+		}
+	}
 	p.log.WithFields(fields).Info("counters")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -261,13 +261,9 @@
 	case control.Ask:
 		g.ask(a)
 	case control.Refuse:
-		if r := g.requests[a.ID]; r != nil {
-			g.answer(r, Answer{Outcome: Refused, RetryAfter: a.After, Harmless: true})
-		}
+		g.close(a.ID, Answer{Outcome: Refused, RetryAfter: a.After, Harmless: true})
 	case control.Fail:
-		if r := g.requests[a.ID]; r != nil {
-			g.answer(r, Answer{Outcome: Failed})
-		}
+		g.close(a.ID, Answer{Outcome: Failed})
 	case control.Cancel:
 		if at := g.attempt(a.ID, a.Attempt); at != nil {
 			g.cancel(at, control.Cancelled)
@@ -286,6 +282,19 @@
 	}
 }
 
+// close gives a request that the director has given up its answer at once. One given up at its very deadline
+// has expired.
+func (g *Gateway) close(id string, a Answer) {
+	r := g.requests[id]
+	if r == nil {
+		return
+	}
+	if !g.cfg.Loop.Now().Before(r.Deadline.Add(-g.cfg.Settings.Step - time.Millisecond)) {
+		a.Outcome = Expired
+	}
+	g.answer(r, a)
+}
+
 // ask starts an attempt. Guards the rule against sending for a finished request: it ends as not sent.
 func (g *Gateway) ask(a control.Ask) {
 	r := g.requests[a.ID]
--- /dev/null
+++ b/internal/httpapi/httpapi.go
@@ -0,0 +1,234 @@
+// Package httpapi says how requests and answers look in HTTP, for the signed front and the middleware alike.
+//
+//	GET  /CLASS/OBJECT/PART?shard=GROUP    a part of an object
+//	POST /CLASS/OBJECT/PART?shard=GROUP    in keyed classes, with an Idempotency-Key
+package httpapi
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"larchusher/control"
+	"larchusher/gateway"
+	"larchusher/signedurl"
+)
+
+// BodyMost is the longest body of a request.
+const BodyMost = 48000
+
+// Problem is a final answer that no store had a part in.
+type Problem struct {
+	Status int
+	Reason string
+	Header [][2]string
+}
+
+func (p *Problem) Error() string { return strconv.Itoa(p.Status) + " " + p.Reason }
+
+func problem(status int, reason string, header ...[2]string) *Problem {
+	return &Problem{Status: status, Reason: reason, Header: header}
+}
+
+// API turns HTTP into the gateway's terms.
+type API struct {
+	classes  map[string]control.Class
+	verifier *signedurl.Verifier
+	issuer   *signedurl.Issuer // nil: tokens are not renewed
+}
+
+// New returns the API of a gateway with these settings. The issuer may be nil.
+func New(s control.Settings, v *signedurl.Verifier, i *signedurl.Issuer) *API {
+	a := &API{classes: map[string]control.Class{}, verifier: v, issuer: i}
+	for _, c := range s.Classes {
+		a.classes[c.Name] = c
+	}
+	return a
+}
+
+// Knows says whether a target names a class of the gateway.
+func (a *API) Knows(target string) bool {
+	class, _, _ := strings.Cut(strings.TrimPrefix(target, "/"), "/")
+	_, ok := a.classes[class]
+	return ok
+}
+
+// Call is an HTTP request that has come whole. Header returns the values of a field.
+type Call struct {
+	Method string
+	Target string // as sent
+	Header func(name string) []string
+	Body   []byte
+	At     time.Time // when its last byte came
+}
+
+// Admitted is a request whose token was checked, which happens once.
+type Admitted struct {
+	Request *gateway.Request // all but Ref and Answer
+	Grant   signedurl.Grant
+	Head    bool
+}
+
+// Admit checks the token of a call and then the call itself. Nothing has reached a store by then.
+func (a *API) Admit(c Call) (*Admitted, *Problem) {
+	grant, err := a.verifier.Verify(c.Target, strings.Join(c.Header("Cookie"), "; "), c.At)
+	if err != nil {
+		var refused *signedurl.Error
+		if errors.As(err, &refused) {
+			return nil, problem(http.StatusForbidden, string(refused.Reason))
+		}
+		return nil, problem(http.StatusForbidden, "refused")
+	}
+	path, query, _ := strings.Cut(c.Target, "?")
+	parts := strings.Split(path[1:], "/")
+	if len(parts) != 3 {
+		return nil, problem(http.StatusNotFound, "no such path: /CLASS/OBJECT/PART")
+	}
+	class, ok := a.classes[parts[0]]
+	if !ok {
+		return nil, problem(http.StatusNotFound, "no such class")
+	}
+	r := &gateway.Request{Class: class.Name, Object: parts[1], Body: c.Body, Deadline: c.At.Add(class.Deadline)}
+	if !objectName(r.Object) {
+		return nil, problem(http.StatusNotFound, "an object is 16 hex digits")
+	}
+	if r.Part, ok = number(parts[2], 1<<20); !ok {
+		return nil, problem(http.StatusNotFound, "no such part")
+	}
+	for q := range strings.SplitSeq(query, "&") {
+		if v, is := strings.CutPrefix(q, "shard="); is {
+			if r.Group, ok = number(v, 255); !ok {
+				return nil, problem(http.StatusBadRequest, "shard is from 0 to 255")
+			}
+		}
+	}
+	keyed := class.Effect != control.Safe
+	switch {
+	case keyed && c.Method != http.MethodPost:
+		return nil, problem(http.StatusMethodNotAllowed, "POST only", [2]string{"Allow", "POST"})
+	case !keyed && c.Method != http.MethodGet && c.Method != http.MethodHead:
+		return nil, problem(http.StatusMethodNotAllowed, "GET and HEAD only", [2]string{"Allow", "GET, HEAD"})
+	case len(c.Body) > BodyMost:
+		return nil, problem(http.StatusRequestEntityTooLarge, "the body is too long")
+	case keyed:
+		keys := c.Header("Idempotency-Key")
+		if len(keys) != 1 || !plain(unquoted(keys[0])) {
+			return nil, problem(http.StatusBadRequest, "one Idempotency-Key of letters, digits, - and _ is needed")
+		}
+		r.Key = unquoted(keys[0])
+	default:
+		r.Have = have(c.Header("If-None-Match"))
+	}
+	return &Admitted{Request: r, Grant: grant, Head: c.Method == http.MethodHead}, nil
+}
+
+// objectName says whether s is 16 lower-case hex digits.
+func objectName(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; !(c >= '0' && c <= '9' || c >= 'a' && c <= 'f') {
+			return false
+		}
+	}
+	return len(s) == 16
+}
+
+// number reads a number without sign or leading zeros, which would give one part two names.
+func number(s string, most int) (int, bool) {
+	n, err := strconv.ParseUint(s, 10, 31)
+	return int(n), err == nil && int(n) <= most && strconv.FormatUint(n, 10) == s
+}
+
+func unquoted(s string) string {
+	if len(s) >= 2 && s[0] == '"' && s[len(s)-1] == '"' {
+		return s[1 : len(s)-1]
+	}
+	return s
+}
+
+// plain says whether s can be passed on to a store.
+func plain(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; !(c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-' || c == '_') {
+			return false
+		}
+	}
+	return s != "" && len(s) <= 128
+}
+
+// have returns the tag in If-None-Match, if there is just one and it can be passed on. Of several, none is
+// passed on: the answer is then whole, which is always right.
+func have(values []string) string {
+	if len(values) != 1 {
+		return ""
+	}
+	if tag := unquoted(strings.TrimPrefix(values[0], "W/")); tag != values[0] && plain(tag) {
+		return tag
+	}
+	return ""
+}
+
+// Response is an HTTP answer.
+type Response struct {
+	Status int
+	Header [][2]string
+	Body   []byte
+}
+
+// Respond words a final answer.
+func (a *API) Respond(ad *Admitted, ans gateway.Answer, now time.Time) Response {
+	var r Response
+	add := func(name, value string) { r.Header = append(r.Header, [2]string{name, value}) }
+	switch ans.Outcome {
+	case gateway.Served, gateway.Unchanged:
+		r.Status = http.StatusOK
+		if ans.Outcome == gateway.Unchanged {
+			r.Status = http.StatusNotModified
+		} else {
+			add("Content-Type", "application/octet-stream")
+			r.Body = ans.Body
+		}
+		if ans.Tag != "" {
+			add("ETag", `"`+ans.Tag+`"`)
+		}
+		add("Cache-Control", "private")
+		if cookie := a.renewal(ad, now); cookie != "" {
+			add("Set-Cookie", cookie)
+		}
+	case gateway.Refused:
+		r.Status = http.StatusServiceUnavailable
+		add("Retry-After", strconv.FormatInt(max(1, int64((ans.RetryAfter+time.Second-1)/time.Second)), 10))
+		r.Body = []byte("refused: trying again is harmless\n")
+	case gateway.Expired:
+		r.Status = http.StatusGatewayTimeout
+		r.Body = []byte("no answer in time\n")
+	default:
+		r.Status = http.StatusBadGateway
+		r.Body = []byte("failed\n")
+	}
+	if r.Status >= 400 {
+		add("Content-Type", "text/plain; charset=utf-8")
+		add("Cache-Control", "no-store")
+	}
+	return r
+}
+
+// renewal is the cookie with the fresh token that a grant asks for.
+func (a *API) renewal(ad *Admitted, now time.Time) string {
+	if a.issuer == nil || !ad.Grant.Renewal.Cookie {
+		return ""
+	}
+	token, err := a.issuer.Renew(ad.Grant, now)
+	if err != nil || token == "" {
+		return ""
+	}
+	return signedurl.URISigningPackage + "=" + token + "; Path=/; Max-Age=" +
+		strconv.FormatInt(int64(ad.Grant.Renewal.Span/time.Second), 10) + "; Secure; HttpOnly"
+}
+
+// Response words a problem.
+func (p *Problem) Response() Response {
+	return Response{Status: p.Status, Body: []byte(p.Reason + "\n"), Header: append(p.Header,
+		[2]string{"Content-Type", "text/plain; charset=utf-8"}, [2]string{"Cache-Control", "no-store"})}
+}
--- /dev/null
+++ b/internal/net/agentcheck/agentcheck.go
@@ -0,0 +1,117 @@
+// Package agentcheck answers the checks of common balancers: HAProxy's agent-check, and health over HTTP.
+package agentcheck
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"time"
+
+	"larchusher/gateway"
+	"larchusher/internal/net/transport"
+)
+
+// headMost is the longest head of a health request.
+const headMost = 8 << 10
+
+// State is what a balancer is told.
+type State struct {
+	Ready    bool
+	Draining bool
+	Open     int // requests in work,
+	Most     int // of so many at most
+}
+
+// Checker answers checks. Its methods run on the loop.
+type Checker struct {
+	Loop  *gateway.Loop
+	State func() State
+}
+
+// agent words a state for HAProxy: its weight falls as the gateway fills.
+func (s State) agent() string {
+	switch {
+	case s.Draining:
+		return "drain\n"
+	case !s.Ready:
+		return "down\n"
+	}
+	weight := 100
+	if s.Most > 0 {
+		weight = max(1, 100-100*s.Open/s.Most)
+	}
+	return fmt.Sprintf("ready up %d%%\n", weight)
+}
+
+// Agent returns the callbacks of an agent-check connection. A client may send a line first, or nothing: the
+// answer goes out at once and the connection ends, as the protocol has it.
+func (c *Checker) Agent(engine *transport.Engine, addr string, most int) (*transport.Listener, error) {
+	return engine.Listen(addr, most, func() transport.Handler { return ignore{} }, func(tc *transport.Conn) {
+		c.Loop.Post(func() {
+			_ = tc.Write([]byte(c.State().agent()))
+			c.close(tc)
+		})
+	})
+}
+
+// close ends a connection once its answer has left.
+func (c *Checker) close(tc *transport.Conn) {
+	if tc.Waiting() > 0 {
+		c.Loop.After(time.Millisecond, func() { c.close(tc) })
+		return
+	}
+	tc.Close(errors.New("done"))
+}
+
+// ignore passes over what comes.
+type ignore struct{}
+
+func (ignore) OnBytes(*transport.Conn, []byte, time.Time) error { return nil }
+func (ignore) OnClosed(*transport.Conn, error)                  {}
+
+// Health listens for GET /healthz: 200 while requests are welcome, else 503.
+func (c *Checker) Health(engine *transport.Engine, addr string, most int) (*transport.Listener, error) {
+	return engine.Listen(addr, most, func() transport.Handler { return &health{checker: c} }, nil)
+}
+
+// health is one connection, for one request.
+type health struct {
+	checker *Checker
+	buf     []byte
+	done    bool
+}
+
+func (h *health) OnBytes(tc *transport.Conn, b []byte, _ time.Time) error {
+	if h.done {
+		return nil
+	}
+	if h.buf = append(h.buf, b...); len(h.buf) > headMost {
+		return errors.New("a head that does not end")
+	}
+	if !bytes.Contains(h.buf, []byte("\r\n\r\n")) {
+		return nil
+	}
+	h.done = true
+	line, _, _ := bytes.Cut(h.buf, []byte("\r\n"))
+	h.checker.Loop.Post(func() {
+		s, status, text := h.checker.State(), "200 OK", "up\n"
+		switch {
+		case !bytes.HasPrefix(line, []byte("GET /healthz ")) && !bytes.HasPrefix(line, []byte("HEAD /healthz ")):
+			status, text = "404 Not Found", "GET /healthz\n"
+		case s.Draining:
+			status, text = "503 Service Unavailable", "draining\n"
+		case !s.Ready:
+			status, text = "503 Service Unavailable", "down\n"
+		}
+		body := text
+		if bytes.HasPrefix(line, []byte("HEAD")) {
+			body = ""
+		}
+		_ = tc.Write([]byte(fmt.Sprintf("HTTP/1.1 %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n"+
+			"Cache-Control: no-store\r\nConnection: close\r\n\r\n%s", status, len(text), body)))
+		h.checker.close(tc)
+	})
+	return nil
+}
+
+func (h *health) OnClosed(*transport.Conn, error) {}
--- a/internal/net/journal/client.go
+++ b/internal/net/journal/client.go
@@ -47,6 +47,9 @@
 	return c
 }
 
+// Connected says whether the journal is being read.
+func (c *Client) Connected() bool { return c.current != nil && c.current.tc != nil }
+
 func (c *Client) connect() {
 	s := &stream{client: c}
 	c.current, c.heard = s, c.loop.Now()
--- /dev/null
+++ b/internal/net/signedfront/front.go
@@ -0,0 +1,229 @@
+package signedfront
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"larchusher/gateway"
+	"larchusher/internal/httpapi"
+	"larchusher/internal/net/transport"
+)
+
+const (
+	wholeWithin = 10 * time.Second // a request that has begun to come has come whole by then
+	idleMost    = 30 * time.Second
+	sweep       = time.Second
+	aheadMost   = headMost + httpapi.BodyMost + 4 // bytes that may come ahead of an answer
+)
+
+// Front takes signed requests over HTTP/1.1. One request of a connection is in work at a time; others that
+// have come wait for their turn, so that answers leave in order.
+type Front struct {
+	loop    *gateway.Loop
+	gateway *gateway.Gateway
+	api     *httpapi.API
+	log     logrus.FieldLogger
+	conns   map[*conn]bool
+	serial  uint64
+	seed    uint64
+	ending  bool
+
+	Admitted uint64
+	Problems map[string]uint64 // by reason
+	Statuses map[int]uint64
+}
+
+// New returns a front. Its Accept makes the handlers of a listener.
+func New(loop *gateway.Loop, g *gateway.Gateway, api *httpapi.API, seed uint64, log logrus.FieldLogger) *Front {
+	f := &Front{loop: loop, gateway: g, api: api, log: log, conns: map[*conn]bool{}, seed: seed,
+		Problems: map[string]uint64{}, Statuses: map[int]uint64{}}
+	loop.After(sweep, f.sweep)
+	return f
+}
+
+// Accept returns the callbacks of a new connection.
+func (f *Front) Accept() transport.Handler { return &conn{front: f} }
+
+// Idle says whether all that was answered has left.
+func (f *Front) Idle() bool {
+	for c := range f.conns {
+		if c.tc.Waiting() > 0 || c.busy != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// End has connections close after the answer that is due.
+func (f *Front) End() {
+	f.ending = true
+}
+
+// sweep closes connections that are idle, and those whose request does not come to its end.
+func (f *Front) sweep() {
+	now := f.loop.Now()
+	for c := range f.conns {
+		switch {
+		case c.busy != nil:
+		case len(c.buf) > 0 && now.Sub(c.began) > wholeWithin:
+			c.last = true
+			c.problem(&httpapi.Problem{Status: http.StatusRequestTimeout, Reason: "the request did not come whole"})
+		case len(c.buf) == 0 && now.Sub(c.active) > idleMost:
+			c.tc.Close(errors.New("idle"))
+		}
+	}
+	f.loop.After(sweep, f.sweep)
+}
+
+// conn is one client's connection. All of it lives on the loop.
+type conn struct {
+	front   *Front
+	tc      *transport.Conn
+	buf     []byte
+	at      time.Time // when the latest bytes came
+	began   time.Time // when the request that is coming began to
+	active  time.Time
+	busy    *httpapi.Admitted // the request in work
+	proceed bool              // 100 Continue was sent for the request that is coming
+	last    bool              // nothing is read after the present answer
+	gone    bool
+}
+
+// OnBytes hands on what came.
+func (c *conn) OnBytes(tc *transport.Conn, b []byte, at time.Time) error {
+	b = append([]byte(nil), b...)
+	if !c.front.loop.Post(func() { c.take(tc, b, at) }) {
+		return errors.New("the program ends")
+	}
+	return nil
+}
+
+// OnClosed gives up what is in work.
+func (c *conn) OnClosed(_ *transport.Conn, _ error) {
+	c.front.loop.Post(func() {
+		c.gone = true
+		delete(c.front.conns, c)
+		if c.busy != nil {
+			ad := c.busy
+			c.busy = nil
+			c.front.gateway.Abandon(ad.Request)
+		}
+	})
+}
+
+func (c *conn) take(tc *transport.Conn, b []byte, at time.Time) {
+	if c.gone || c.last {
+		return
+	}
+	now := c.front.loop.Now()
+	if len(c.buf) == 0 {
+		c.began = now
+	}
+	c.tc, c.at, c.active = tc, at, now
+	c.front.conns[c] = true
+	if len(c.buf)+len(b) > aheadMost {
+		c.last = true
+		tc.Close(fmt.Errorf("more than %d bytes ahead of an answer", aheadMost))
+		return
+	}
+	c.buf = append(c.buf, b...)
+	c.next()
+}
+
+// next begins the next request, once it has come whole.
+func (c *conn) next() {
+	for c.busy == nil && !c.last && !c.gone && len(c.buf) > 0 {
+		h, size, p := parseHead(c.buf)
+		if p != nil { // where the next request begins can't be told
+			c.last = true
+			c.problem(p)
+			return
+		}
+		if h == nil {
+			return
+		}
+		if len(c.buf) < size+h.length {
+			if h.expect && !c.proceed {
+				c.proceed = true
+				_ = c.tc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+			}
+			return
+		}
+		body := append([]byte(nil), c.buf[size:size+h.length]...)
+		c.buf = append(c.buf[:0], c.buf[size+h.length:]...)
+		c.proceed, c.last, c.began = false, !h.keep || c.front.ending, c.front.loop.Now()
+		c.request(h, body)
+	}
+}
+
+// request checks a request's token and hands it in.
+func (c *conn) request(h *head, body []byte) {
+	f := c.front
+	ad, p := f.api.Admit(httpapi.Call{Method: h.method, Target: h.target, Header: h.get, Body: body, At: c.at})
+	if p != nil {
+		c.problem(p)
+		return
+	}
+	f.Admitted++
+	f.serial++
+	ad.Request.Ref = fmt.Sprintf("%016x", (f.seed^f.serial*0x9e3779b97f4a7c15)|1<<63)
+	c.busy = ad
+	ad.Request.Answer = func(a gateway.Answer) {
+		if c.busy != ad { // the client has left
+			return
+		}
+		c.busy = nil
+		c.respond(f.api.Respond(ad, a, time.Now()), ad.Head)
+		if !c.last {
+			f.loop.Post(c.next)
+		}
+	}
+	f.gateway.Submit(ad.Request)
+}
+
+func (c *conn) problem(p *httpapi.Problem) {
+	c.front.Problems[p.Reason]++
+	c.respond(p.Response(), false)
+}
+
+// respond writes one answer.
+func (c *conn) respond(r httpapi.Response, headOnly bool) {
+	c.front.Statuses[r.Status]++
+	c.active = c.front.loop.Now()
+	b := append(make([]byte, 0, 512), "HTTP/1.1 "...)
+	b = append(strconv.AppendInt(b, int64(r.Status), 10), ' ')
+	b = append(append(b, http.StatusText(r.Status)...), "\r\n"...)
+	for _, f := range r.Header {
+		b = append(append(append(append(b, f[0]...), ": "...), f[1]...), "\r\n"...)
+	}
+	if r.Status != http.StatusNotModified {
+		b = append(strconv.AppendInt(append(b, "Content-Length: "...), int64(len(r.Body)), 10), "\r\n"...)
+	}
+	if c.last {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	b = append(b, "\r\n"...)
+	if headOnly {
+		r.Body = nil
+	}
+	if c.tc.Write(b, r.Body) == nil && c.last {
+		c.flush()
+	}
+}
+
+// flush closes the connection once its last answer has left.
+func (c *conn) flush() {
+	if c.gone {
+		return
+	}
+	if c.tc.Waiting() == 0 {
+		c.tc.Close(errors.New("done"))
+		return
+	}
+	c.front.loop.After(5*time.Millisecond, c.flush)
+}
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -135,8 +135,8 @@
 }
 
 // Listen accepts connections on addr, and asks handler for the callbacks of each. At most `most` are held
-// open at once; a connection beyond that is closed as it comes.
-func (e *Engine) Listen(addr string, most int, handler func() Handler) (*Listener, error) {
+// open at once; a connection beyond that is closed as it comes. opened, if not nil, is called with each.
+func (e *Engine) Listen(addr string, most int, handler func() Handler, opened func(*Conn)) (*Listener, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listening on %s: %w", addr, err)
@@ -163,7 +163,10 @@
 				e.log.WithError(err).Warn("taking a connection over")
 				continue
 			}
-			e.add(e.wrap(nc, &counted{Handler: handler(), open: &open}))
+			c := e.wrap(nc, &counted{Handler: handler(), open: &open})
+			if e.add(c); opened != nil {
+				opened(c)
+			}
 		}
 	}()
 	return &Listener{l: l}, nil
--- /dev/null
+++ b/signedurl/edgeauth.go
@@ -0,0 +1,124 @@
+package signedurl
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// The signed fields of an edge-auth token.
+var edgeFields = map[string]bool{"st": true, "exp": true, "acl": true, "id": true, "data": true}
+
+func (v *Verifier) verifyEdge(path, token string, now time.Time) (Grant, error) {
+	// The code comes last: a field behind it would not be signed.
+	body, code, ok := strings.Cut(token, "~hmac=")
+	if !ok {
+		return Grant{}, refuse(MalformedToken, "hmac is missing")
+	}
+	fields := map[string]string{}
+	for f := range strings.SplitSeq(body, "~") {
+		name, value, ok := strings.Cut(f, "=")
+		_, twice := fields[name]
+		if name == "ip" || name == "url" { // a bond that is not checked must not be passed over
+			return Grant{}, refuse(UnsupportedClaim, "the field %s", name)
+		}
+		if !ok || twice || !edgeFields[name] {
+			return Grant{}, refuse(MalformedToken, "the field %.20q", name)
+		}
+		fields[name] = value
+	}
+	sum, err := hex.DecodeString(code)
+	if err != nil || len(sum) != sha256.Size {
+		return Grant{}, refuse(MalformedToken, "hmac is no SHA-256")
+	}
+	g := Grant{Form: EdgeAuth, Subject: fields["id"]}
+	keys := 0
+	for _, k := range v.cfg.Keys { // there is no kid: every key in force is tried
+		if k.Form != EdgeAuth {
+			continue
+		}
+		keys++
+		if hmac.Equal(edgeSum(k.Secret, body), sum) {
+			g.KeyID = k.ID
+		}
+	}
+	switch {
+	case keys == 0:
+		return Grant{}, &Error{Reason: UnknownKey}
+	case g.KeyID == "":
+		return Grant{}, &Error{Reason: BadSignature}
+	}
+	exp, err := strconv.ParseInt(fields["exp"], 10, 64)
+	if err != nil {
+		return Grant{}, refuse(MalformedToken, "exp: %w", err)
+	}
+	g.Expiry = time.Unix(exp, 0)
+	if s, ok := fields["st"]; ok {
+		st, err := strconv.ParseInt(s, 10, 64)
+		if err != nil {
+			return Grant{}, refuse(MalformedToken, "st: %w", err)
+		}
+		if now.Before(time.Unix(st, 0).Add(-v.cfg.Leeway)) {
+			return Grant{}, &Error{Reason: NotYetValid}
+		}
+	}
+	if !now.Before(g.Expiry.Add(v.cfg.Leeway)) {
+		return Grant{}, &Error{Reason: Expired}
+	}
+	for acl := range strings.SplitSeq(fields["acl"], "!") {
+		if acl != "" && matches(acl, path) {
+			return g, nil
+		}
+	}
+	return Grant{}, refuse(URIMismatch, "no entry of acl matches")
+}
+
+func edgeSum(secret []byte, body string) []byte {
+	h := hmac.New(sha256.New, secret)
+	h.Write([]byte(body))
+	return h.Sum(nil)
+}
+
+// matches says whether a path matches an entry of an access list: * stands for any characters, ? for one.
+// It takes time in proportion to the two lengths multiplied at most.
+func matches(pattern, path string) bool {
+	p, s, star, mark := 0, 0, -1, 0
+	for s < len(path) {
+		switch {
+		case p < len(pattern) && pattern[p] == '*':
+			star, mark = p, s
+			p++
+		case p < len(pattern) && (pattern[p] == '?' || pattern[p] == path[s]):
+			p, s = p+1, s+1
+		case star >= 0:
+			mark++
+			p, s = star+1, mark
+		default:
+			return false
+		}
+	}
+	return strings.Trim(pattern[p:], "*") == ""
+}
+
+func (i *Issuer) signEdge(o Order) (string, error) {
+	path, _, _ := strings.Cut(o.Target, "?")
+	acl := o.Pattern
+	if acl == "" {
+		acl = path
+	}
+	if strings.ContainsAny(acl+o.Subject, "~&;# ") {
+		return "", errors.New("a character that cannot stand in the token")
+	}
+	body := "exp=" + strconv.FormatInt(o.Expiry.Unix(), 10) + "~acl=" + acl
+	if !o.NotBefore.IsZero() {
+		body = "st=" + strconv.FormatInt(o.NotBefore.Unix(), 10) + "~" + body
+	}
+	if o.Subject != "" {
+		body += "~id=" + o.Subject
+	}
+	return body + "~hmac=" + hex.EncodeToString(edgeSum(i.key.Secret, body)), nil
+}
--- /dev/null
+++ b/signedurl/jwt.go
@@ -0,0 +1,171 @@
+package signedurl
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"errors"
+	"maps"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/golang-jwt/jwt/v5"
+)
+
+// methods are the algorithms that a key can be pinned to. "none" is not among them.
+var methods = map[string]jwt.SigningMethod{
+	"HS256": jwt.SigningMethodHS256, "HS384": jwt.SigningMethodHS384, "HS512": jwt.SigningMethodHS512,
+	"ES256": jwt.SigningMethodES256, "ES384": jwt.SigningMethodES384, "RS256": jwt.SigningMethodRS256,
+	"PS256": jwt.SigningMethodPS256, "EdDSA": jwt.SigningMethodEdDSA,
+}
+
+// Values of cdnistt, how a fresh token travels.
+const transportCookie = 1
+
+// understood are the claims that cdnicrit may name.
+var understood = map[string]bool{"cdniv": true, "cdniuc": true, "cdniets": true, "cdnistt": true,
+	"cdnicrit": true}
+
+var errUnknownKey, errAlgorithm = errors.New("no such key"), errors.New("not the algorithm of this key")
+
+func (v *Verifier) verifyJWT(uri, token string, now time.Time) (Grant, error) {
+	var keyID string
+	claims := jwt.MapClaims{}
+	parser := jwt.NewParser(jwt.WithLeeway(v.cfg.Leeway), jwt.WithTimeFunc(func() time.Time { return now }),
+		jwt.WithExpirationRequired(), jwt.WithStrictDecoding())
+	_, err := parser.ParseWithClaims(token, claims, func(t *jwt.Token) (any, error) {
+		keyID, _ = t.Header["kid"].(string)
+		for _, k := range v.cfg.Keys {
+			if k.Form == URISigning && k.ID == keyID {
+				// Guards against a token that names its own algorithm: none, or HMAC under a public key.
+				if t.Method.Alg() != k.Algorithm {
+					return nil, errAlgorithm
+				}
+				if k.Secret != nil {
+					return k.Secret, nil
+				}
+				return k.Public, nil
+			}
+		}
+		return nil, errUnknownKey
+	})
+	for _, r := range []struct {
+		err    error
+		reason Reason
+	}{{errUnknownKey, UnknownKey}, {errAlgorithm, BadAlgorithm}, {jwt.ErrTokenSignatureInvalid, BadSignature},
+		{jwt.ErrTokenUnverifiable, BadAlgorithm}, {jwt.ErrTokenMalformed, MalformedToken},
+		{jwt.ErrTokenExpired, Expired}, {jwt.ErrTokenNotValidYet, NotYetValid},
+		{jwt.ErrTokenUsedBeforeIssued, NotYetValid}} {
+		if errors.Is(err, r.err) {
+			return Grant{}, &Error{Reason: r.reason, Detail: err}
+		}
+	}
+	if err != nil {
+		return Grant{}, &Error{Reason: MalformedToken, Detail: err}
+	}
+	if err := checkClaims(claims, uri); err != nil {
+		return Grant{}, err
+	}
+	g := Grant{Form: URISigning, KeyID: keyID}
+	g.Subject, _ = claims["sub"].(string)
+	if at, err := claims.GetExpirationTime(); err == nil && at != nil {
+		g.Expiry = at.Time
+	}
+	if span, ok := claims["cdniets"].(float64); ok && span > 0 {
+		stt, _ := claims["cdnistt"].(float64)
+		g.Renewal = Renewal{Span: time.Duration(span * float64(time.Second)), Cookie: stt == transportCookie,
+			claims: claims}
+	}
+	return g, nil
+}
+
+// checkClaims checks what RFC 9246 adds to a JWT.
+func checkClaims(claims jwt.MapClaims, uri string) error {
+	if v, ok := claims["cdniv"]; ok && v != 1.0 {
+		return refuse(UnsupportedClaim, "cdniv is not 1")
+	}
+	if crit, ok := claims["cdnicrit"].(string); ok {
+		for name := range strings.SplitSeq(crit, ",") {
+			if !understood[name] {
+				return refuse(UnsupportedClaim, "cdnicrit names a claim that is not understood")
+			}
+		}
+	} else if _, there := claims["cdnicrit"]; there {
+		return refuse(MalformedToken, "cdnicrit is no string")
+	}
+	if _, ok := claims["cdniip"]; ok { // a bond to an address must not be passed over
+		return refuse(UnsupportedClaim, "cdniip")
+	}
+	if _, ok := claims["cdnistd"]; ok {
+		return refuse(UnsupportedClaim, "cdnistd")
+	}
+	container, ok := claims["cdniuc"].(string)
+	if !ok {
+		return refuse(MalformedToken, "cdniuc is missing")
+	}
+	kind, value, _ := strings.Cut(container, ":")
+	switch kind {
+	case "hash":
+		if subtle.ConstantTimeCompare([]byte(value), []byte(hashOf(uri))) != 1 {
+			return refuse(URIMismatch, "the hash is of another URI")
+		}
+	case "regex":
+		re, err := regexp.CompilePOSIX("^(" + value + ")$")
+		if err != nil {
+			return refuse(MalformedToken, "cdniuc: %w", err)
+		}
+		if !re.MatchString(uri) {
+			return refuse(URIMismatch, "the URI does not match")
+		}
+	default:
+		return refuse(UnsupportedClaim, "cdniuc has another kind of container")
+	}
+	return nil
+}
+
+// hashOf is the hash container's value, in the URL segment form of RFC 6920.
+func hashOf(uri string) string {
+	sum := sha256.Sum256([]byte(uri))
+	return "sha-256;" + base64.RawURLEncoding.EncodeToString(sum[:])
+}
+
+func (i *Issuer) signJWT(o Order) (string, error) {
+	claims := jwt.MapClaims{"cdniv": 1, "exp": o.Expiry.Unix(), "cdniuc": "hash:" + hashOf(i.cfg.Base+o.Target)}
+	if o.Pattern != "" {
+		if _, err := regexp.CompilePOSIX(o.Pattern); err != nil {
+			return "", err
+		}
+		claims["cdniuc"] = "regex:" + o.Pattern
+	}
+	if o.Subject != "" {
+		claims["sub"] = o.Subject
+	}
+	if !o.NotBefore.IsZero() {
+		claims["nbf"] = o.NotBefore.Unix()
+	}
+	if o.Renew > 0 {
+		claims["cdniets"], claims["cdnistt"] = int64(o.Renew/time.Second), transportCookie
+	}
+	return i.signed(claims)
+}
+
+func (i *Issuer) signed(claims jwt.MapClaims) (string, error) {
+	t := jwt.NewWithClaims(methods[i.key.Algorithm], claims)
+	t.Header["kid"] = i.key.ID
+	if i.key.Secret != nil {
+		return t.SignedString(i.key.Secret)
+	}
+	return t.SignedString(i.key.Private)
+}
+
+// Renew issues the fresh token that a grant asks for: the same claims, good for its span from now. It
+// returns "" where none is wanted.
+func (i *Issuer) Renew(g Grant, now time.Time) (string, error) {
+	if g.Renewal.Span <= 0 || i.key.Form != URISigning {
+		return "", nil
+	}
+	claims := maps.Clone(jwt.MapClaims(g.Renewal.claims))
+	claims["exp"] = now.Add(g.Renewal.Span).Unix()
+	return i.signed(claims)
+}
