--- /dev/null
+++ b/test/platform_test.go
@@ -0,0 +1,435 @@
+package test
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const object = "7f3a9c21e0b4d655"
+
+func TestServesAPartUnchanged(t *testing.T) {
+	r := newRig(t).start()
+	c := r.client()
+	c.raw([]byte("\x94\x00\x01\xa5alive\x91\x80"))
+	if a := c.next(); a.id != 1 || !a.truth {
+		t.Fatalf("alive: %+v", a)
+	}
+	c.id = 1
+	id := c.send("replay-video", object, 5*time.Second, "body\x00\r\n")
+	a := c.next()
+	if a.id != id || a.err != "" || a.body != content(object, "3") {
+		t.Fatalf("%+v", a)
+	}
+	got := r.asks(object)
+	if len(got) != 1 || got[0].body != "body\x00\r\n" || got[0].fields["lane"] != "replay-video" ||
+		got[0].fields["piece"] != "3" || got[0].id != fmt.Sprintf("%08x%08x", os.Getpid(), 1) {
+		t.Fatalf("%+v", got[0])
+	}
+	if ttl, _ := strconv.Atoi(got[0].fields["ttl"]); ttl < 1 || ttl > 5000 {
+		t.Errorf("ttl %d", ttl)
+	}
+}
+
+func TestACopyThatTheClientHoldsIsConfirmed(t *testing.T) {
+	r := newRig(t).start()
+	r.on(func(a *ask) { a.reply("KEEP", "why=warm,digest="+a.fields["got"], "") })
+	c := r.client()
+	c.send("game-assets", object, 2*time.Second, "", "mine", "4be0c1927d55a6f3")
+	if a := c.next(); a.err != "" || a.body != "" || a.fields["still"] != "1" {
+		t.Fatalf("%+v", a)
+	}
+	if got := r.asks(object)[0].fields["got"]; got != "4be0c1927d55a6f3" {
+		t.Errorf("got=%q", got)
+	}
+}
+
+// A request goes to another store when its first is not there. nbio's dialer took a refused connection for
+// an open one, so that it might have run.
+func TestARefusedConnectionProvesThatNothingRan(t *testing.T) {
+	r := newRig(t)
+	r.stores["c1"].l.Close()
+	r.start()
+	c := r.client()
+	for i := range 20 {
+		c.send("game-assets", fmt.Sprintf("%016x", i), 2*time.Second, "")
+		if a := c.next(); a.err != "" {
+			t.Fatalf("request %d: %+v", i, a)
+		}
+	}
+	if n := r.counter("ended_not_connected"); n == 0 {
+		t.Error("no connection was refused")
+	}
+	if n := r.counter("ended_reset"); n != 0 {
+		t.Errorf("%d refused connections count as broken", n)
+	}
+}
+
+func TestOneAnswerWhenAStoreBreaksOff(t *testing.T) {
+	r := newRig(t).start()
+	broken := make(chan bool, 1)
+	broken <- true
+	r.on(func(a *ask) {
+		select {
+		case <-broken:
+			a.conn.Close()
+		default:
+			done(a)
+		}
+	})
+	c := r.client()
+	c.send("turn-submit", object, 3*time.Second, "move", "unique", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211")
+	if a := c.next(); a.err != "" {
+		t.Fatalf("%+v", a)
+	}
+	got := r.asks(object)
+	if len(got) != 2 || got[0].fields["dedupe"] != got[1].fields["dedupe"] || got[0].id != got[1].id ||
+		got[0].fields["dedupe"] != "5c0f6e1a2b3d4c59a8b7c6d5e4f30211" {
+		t.Fatalf("%d attempts", len(got))
+	}
+	if n := r.counter("answered_served"); n != 1 {
+		t.Errorf("%d answers", n)
+	}
+}
+
+// At the deadline there is one answer, and a late one of the store changes nothing.
+func TestOneAnswerAtTheDeadline(t *testing.T) {
+	r := newRig(t).start()
+	held := make(chan *ask, 10)
+	r.on(func(a *ask) { held <- a })
+	c := r.client()
+	began := time.Now()
+	id := c.send("game-assets", object, 300*time.Millisecond, "")
+	if a := c.next(); a.id != id || a.err == "" {
+		t.Fatalf("%+v", a)
+	}
+	if took := time.Since(began); took < 250*time.Millisecond {
+		t.Errorf("given up after %v", took)
+	}
+	eventually(t, "the store is told", func() bool { return r.sum(func(s *store) int { return len(s.quits) }) > 0 })
+	r.on(done)
+	done(<-held)
+	id = c.send("game-assets", "00000000000000aa", 2*time.Second, "")
+	if a := c.next(); a.id != id || a.body != content("00000000000000aa", "3") {
+		t.Fatalf("after the late answer: %+v", a)
+	}
+}
+
+// A request that has been given up is refused at once, with word of when to come back.
+func TestARefusalComesAtOnce(t *testing.T) {
+	r := newRig(t)
+	for _, s := range r.stores {
+		s.l.Close()
+	}
+	r.start()
+	c := r.client()
+	began := time.Now()
+	c.send("replay-video", object, 5*time.Second, "")
+	a := c.next()
+	if later, err := strconv.Atoi(a.fields["later"]); a.err != "Backoff" || err != nil || later < 1 || later > 2000 {
+		t.Errorf("%+v", a)
+	}
+	if took := time.Since(began); took > 2500*time.Millisecond {
+		t.Errorf("refused after %v", took)
+	}
+}
+
+func TestACancelledRequestIsQuit(t *testing.T) {
+	r := newRig(t).start()
+	held := make(chan *ask, 10)
+	r.on(func(a *ask) { held <- a })
+	c := r.client()
+	id := c.send("replay-video", object, 5*time.Second, "")
+	a := <-held
+	c.raw(append([]byte("\x93\x02\xadcancelRequest\x91"), byte(id)))
+	eventually(t, "the store is told", func() bool { return r.sum(func(s *store) int { return len(s.quits) }) == 1 })
+	done(a) // nobody is owed this
+	other := r.client()
+	other.send("replay-video", "00000000000000bb", 5*time.Second, "")
+	(<-held).store.on(done)
+	other.conn.Close() // leaving is cancelling
+	eventually(t, "the store is told", func() bool { return r.sum(func(s *store) int { return len(s.quits) }) == 2 })
+	if n := r.counter("gone"); n != 2 {
+		t.Errorf("%d clients left", n)
+	}
+}
+
+func TestManyAttemptsShareAConnection(t *testing.T) {
+	r := newRig(t).start()
+	held := make(chan *ask, 100)
+	r.on(func(a *ask) { held <- a })
+	c := r.client()
+	want := map[int]string{}
+	for i := range 32 {
+		o := fmt.Sprintf("%016x", i)
+		want[c.send("replay-video", o, 5*time.Second, "")] = content(o, "3")
+	}
+	c.send("replay-video", object, 5*time.Second, "") // one more than a connection may have open
+	if a := c.next(); a.err != "Backoff" {
+		t.Fatalf("%+v", a)
+	}
+	var got []*ask
+	for range 32 {
+		got = append(got, <-held)
+	}
+	for i := range got { // answered in the opposite order
+		done(got[len(got)-1-i])
+	}
+	for range want {
+		a := c.next()
+		if a.err != "" || want[a.id] != a.body {
+			t.Fatalf("%+v", a.id)
+		}
+		delete(want, a.id)
+	}
+	if n := r.sum(func(s *store) int { return s.conns }); n > 4 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// A machine that was cut off leaves its connection open without a word.
+func TestASilentConnectionIsTestedAndLeft(t *testing.T) {
+	r := newRig(t).start()
+	held := make(chan *ask, 10)
+	deaf := func(a *ask) {
+		a.store.mu.Lock()
+		a.store.deaf = true
+		a.store.mu.Unlock()
+		for _, s := range r.stores {
+			if s != a.store {
+				s.on(done)
+			}
+		}
+		held <- a
+	}
+	r.on(deaf)
+	c := r.client()
+	c.send("replay-video", object, 5*time.Second, "")
+	if a := c.next(); a.err != "" || a.body != content(object, "3") {
+		t.Fatalf("%+v", a)
+	}
+	if s := (<-held).store; r.sum(func(s *store) int { return s.noops }) == 0 {
+		t.Errorf("%s was not tested", s.name)
+	}
+}
+
+func TestADrainingStoreGetsNothingNew(t *testing.T) {
+	r := newRig(t).start()
+	r.journal.tell(2, `"hosts":{"index":2,"snapshot":false,"endpoints":[`+r.host("c1", "DRAINING")+`]}`)
+	eventually(t, "the event is read", func() bool { return r.counter("journal_events") == 1 })
+	c := r.client()
+	for i := range 40 {
+		c.send("game-assets", fmt.Sprintf("%016x", i), 2*time.Second, "")
+		if a := c.next(); a.err != "" {
+			t.Fatalf("%+v", a)
+		}
+	}
+	for _, a := range r.asks("") {
+		if a.store.name == "c1" || a.fields["parent"] == "c1" {
+			t.Fatalf("%s was asked, with source %q", a.store.name, a.fields["parent"])
+		}
+	}
+}
+
+func TestAPurgeBoundsTheAge(t *testing.T) {
+	r := newRig(t).start()
+	r.journal.tell(2, fmt.Sprintf(`"expire":{"name":%q,"stamp":%d}`, object, time.Now().UnixMilli()-500))
+	r.journal.tell(3, fmt.Sprintf(`"expire":{"set":40,"stamp":%d}`, time.Now().UnixMilli()))
+	eventually(t, "both are read", func() bool { return r.counter("purges") == 2 })
+	c := r.client()
+	c.send("replay-video", object, 5*time.Second, "")
+	c.next()
+	if age, err := strconv.Atoi(r.asks(object)[0].fields["accept"]); err != nil || age < 500 || age > 6000 {
+		t.Errorf("accept %d %v", age, err)
+	}
+	c.send("replay-video", "00000000000000cc", 5*time.Second, "")
+	c.next()
+	if age := r.asks("00000000000000cc")[0].fields["accept"]; age != "" {
+		t.Errorf("of another group: accept %s", age)
+	}
+}
+
+func TestTheJournalIsResumed(t *testing.T) {
+	r := newRig(t).start()
+	r.journal.tell(2, `"expire":{"set":40,"stamp":1}`)
+	r.journal.events <- "id: 3\ndata: {\"pos\":3,\"expire\":{}}\n\n" // cannot be used, and is passed over
+	r.journal.events <- "id: 4\ndata: nonsense\n\n"
+	r.journal.events <- "" // the connection ends
+	if id := <-r.journal.connected; id != "4" {
+		t.Errorf("resumed after %q", id)
+	}
+	r.journal.tell(2, `"expire":{"set":40,"stamp":1}`) // told again
+	r.journal.tell(5, `"expire":{"set":41,"stamp":1}`)
+	eventually(t, "the rest is read", func() bool { return r.counter("purges") == 2 })
+	if n := r.counter("journal_dropped"); n != 2 {
+		t.Errorf("%d dropped", n)
+	}
+}
+
+func TestMalformedBytesCloseThatConnectionOnly(t *testing.T) {
+	r := newRig(t).start()
+	good := r.client()
+	for _, b := range []string{"\xc1", "GET / HTTP/1.1\r\n\r\n", "\x94\x00\x01\xa5alive\x93\x80\xc0\xc0",
+		"\x94\x00\xc6\xff\xff\xff\xff", "\x91\x91\x91\x91\x91\x91\x91\x91", "\xdd\xff\xff\xff\xff",
+		"\x94\x00\x01\xda\xff\xff" + strings.Repeat("x", 100<<10)} {
+		c := r.client()
+		c.raw([]byte(b))
+		c.ended()
+	}
+	c := r.client()
+	c.send("replay-video", "a,parent=o", 5*time.Second, "") // would word a field of its own
+	if a := c.next(); a.err == "" {
+		t.Errorf("%+v", a)
+	}
+	c.raw([]byte("\x94\x00\x02\xa5nosuc\x92\x81\xa5limit\xa3abc\xc4\x00"))
+	if a := c.next(); a.err == "" {
+		t.Errorf("%+v", a)
+	}
+	good.send("replay-video", object, 5*time.Second, "")
+	if a := good.next(); a.err != "" {
+		t.Errorf("%+v", a)
+	}
+	if n := len(r.asks("")); n != 1 {
+		t.Errorf("the stores saw %d", n)
+	}
+}
+
+func TestAStoreThatSpeaksNonsenseIsLeft(t *testing.T) {
+	for _, nonsense := range []string{"*9\r\n", "$3\r\nabc\r\n", "*4\r\n$99999999\r\n", "+OK\r\n", strings.Repeat("1", 100),
+		array("x", "HUH", "-", ""), array("x", "DONE"), "*1\r\n$3\r\nabcd\r\n"} {
+		t.Run("", func(t *testing.T) {
+			r := newRig(t).start()
+			once := make(chan bool, 1)
+			once <- true
+			r.on(func(a *ask) {
+				select {
+				case <-once:
+					_, _ = a.conn.Write([]byte(nonsense))
+				default:
+					done(a)
+				}
+			})
+			c := r.client()
+			c.send("game-assets", object, 2*time.Second, "")
+			if a := c.next(); a.err != "" || a.body != content(object, "3") {
+				t.Fatalf("%+v", a)
+			}
+		})
+	}
+}
+
+// After SIGTERM connections keep coming for up to 0.4 s, and requests for 0.2 s beyond that.
+func TestTermAnswersWhatStillComes(t *testing.T) {
+	r := newRig(t).start()
+	held := make(chan *ask, 10)
+	r.on(func(a *ask) { held <- a })
+	early := r.client()
+	early.send("replay-video", object, 5*time.Second, "")
+	a := <-held
+	if err := r.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	r.logged("msg=draining")
+	r.on(done)
+	late := r.client()
+	late.send("replay-video", "00000000000000dd", 5*time.Second, "")
+	if got := late.next(); got.err != "" {
+		t.Errorf("%+v", got)
+	}
+	done(a)
+	if got := early.next(); got.err != "" {
+		t.Errorf("%+v", got)
+	}
+	if err := <-r.exited; err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+	if line := r.logged("msg=counters"); !strings.Contains(line, "answered_served=2") {
+		t.Error(line)
+	}
+}
+
+// What is open at the end is answered before the kill that follows 3.7 s after SIGTERM.
+func TestTermAnswersWhatHangs(t *testing.T) {
+	r := newRig(t).start()
+	held := make(chan *ask, 10)
+	r.on(func(a *ask) { held <- a })
+	c := r.client()
+	c.send("replay-video", object, 20*time.Second, "")
+	<-held
+	began := time.Now()
+	_ = r.cmd.Process.Signal(syscall.SIGTERM)
+	if a := c.next(); a.err == "" {
+		t.Errorf("%+v", a)
+	}
+	if err := <-r.exited; err != nil || time.Since(began) > 4500*time.Millisecond {
+		t.Errorf("it ended with %v after %v", err, time.Since(began))
+	}
+}
+
+func TestOnlyPeersAreHeard(t *testing.T) {
+	r := newRig(t)
+	listen := func() *net.UDPConn {
+		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	peer, all, stranger := listen(), listen(), listen()
+	own := listen()
+	r.config["peer_listen"] = own.LocalAddr().String()
+	r.config["peers"] = []string{own.LocalAddr().String(), peer.LocalAddr().String()}
+	r.config["peers_all"] = all.LocalAddr().String()
+	own.Close()
+	r.start()
+	buf := make([]byte, 512)
+	_ = all.SetReadDeadline(time.Now().Add(patience))
+	n, from, err := all.ReadFromUDP(buf)
+	if err != nil || n > 256 || from.String() != r.config["peer_listen"] {
+		t.Fatalf("%d bytes from %v: %v", n, from, err)
+	}
+	greeting, to := buf[:n], own.LocalAddr().(*net.UDPAddr)
+	for _, m := range []struct {
+		from *net.UDPConn
+		data []byte
+	}{{stranger, greeting}, {peer, make([]byte, 300)}, {peer, []byte("nonsense")}, {peer, greeting}} {
+		if _, err := m.from.WriteToUDP(m.data, to); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = peer.SetReadDeadline(time.Now().Add(patience)) // a greeting is answered
+	if _, _, err := peer.ReadFromUDP(buf); err != nil {
+		t.Fatal(err)
+	}
+	if heard, dropped := r.counter("peer_heard"), r.counter("peer_dropped"); heard != 2 || dropped != 2 {
+		t.Errorf("%d heard, %d dropped", heard, dropped)
+	}
+}
+
+func TestConfigurationErrorsNameTheKey(t *testing.T) {
+	for key, change := range map[string]func(*rig){
+		"listen":                  func(r *rig) { r.config["listen"] = "nowhere" },
+		"journal":                 func(r *rig) { delete(r.config, "journal") },
+		"seed":                    func(r *rig) { r.config["seed"] = "xyz" },
+		"limits.memory_mb":        func(r *rig) { r.config["limits"] = map[string]any{"memory_mb": -1} },
+		"familyInfo.rootKind":     func(r *rig) { r.config["settings"] = map[string]any{} },
+		"settings.limits.sendCap": func(r *rig) { r.config["settings"] = map[string]any{"limits": map[string]any{"sendCap": "8"}} },
+		"peers[0]":                func(r *rig) { r.config["peers"] = []string{"x"} },
+		"known":                   func(r *rig) { r.stores["c1"].kind, r.stores["c1"].name = "box", "c1" },
+	} {
+		t.Run(key, func(t *testing.T) {
+			r := newRig(t)
+			change(r)
+			out := r.refused(key == "known")
+			if want := key[strings.LastIndex(key, ".")+1:]; !strings.Contains(out, want) {
+				t.Errorf("%s", out)
+			}
+		})
+	}
+}
