Prove the signed front: 10,000 requests, expiry between two parts, both sides of the leeway

Found by the tests: an HMAC key whose algorithm is "none" was refused for want of a public key, which named the wrong setting; the algorithm is now checked first.

--- a/signedurl/signedurl.go
+++ b/signedurl/signedurl.go
@@ -140,6 +140,9 @@
 const secretLeast = 16 // bytes
 
 func (k Key) check() error {
+	if _, ok := methods[k.Algorithm]; k.Form == URISigning && !ok {
+		return fmt.Errorf("algorithm: %q is not one of those allowed", k.Algorithm)
+	}
 	switch {
 	case k.Form == EdgeAuth || k.Form == URISigning && strings.HasPrefix(k.Algorithm, "HS"):
 		if len(k.Secret) < secretLeast {
@@ -150,9 +153,6 @@
 	case k.Public == nil:
 		return errors.New("public: missing")
 	}
-	if _, ok := methods[k.Algorithm]; k.Form == URISigning && !ok {
-		return fmt.Errorf("algorithm: %q is not one of those allowed", k.Algorithm)
-	}
 	return nil
 }
 
--- /dev/null
+++ b/test/signed_test.go
@@ -0,0 +1,376 @@
+package test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"larchusher/signedurl"
+)
+
+const base = "https://assets.example"
+
+var signedKeys = signedurl.Config{Base: base, Leeway: 3 * time.Second, Keys: []signedurl.Key{
+	{ID: "old", Form: signedurl.URISigning, Algorithm: "HS256", Secret: []byte("0123456789abcdef")},
+	{ID: "new", Form: signedurl.URISigning, Algorithm: "HS512", Secret: []byte("fedcba9876543210")},
+	{ID: "edge", Form: signedurl.EdgeAuth, Secret: []byte("abcdef0123456789")},
+}}
+
+// signedRig starts the program with its second front, and returns that front's address.
+func signedRig(t *testing.T, more string) (*rig, string) {
+	addr, path := free(t), filepath.Join(t.TempDir(), "signed.toml")
+	file := fmt.Sprintf("listen = %q\nbase = %q\nleeway = \"3s\"\nrenew_with = \"new\"\n%s\n", addr, base, more)
+	r := newRig(t)
+	for i, k := range signedKeys.Keys {
+		file += fmt.Sprintf("[[key]]\nid = %q\nform = %q\nalgorithm = %q\nsecret_env = \"K%d\"\n", k.ID, k.Form, k.Algorithm, i)
+		r.env = append(r.env, fmt.Sprintf("K%d=%x", i, k.Secret))
+	}
+	if err := os.WriteFile(path, []byte(file), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.args = []string{"-signed", path}
+	return r.start(), addr
+}
+
+// signer signs with a key of the configuration, whose clock may be off.
+func signer(t *testing.T, cfg signedurl.Config, key string) func(o signedurl.Order) string {
+	i, err := signedurl.NewIssuer(cfg, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return func(o signedurl.Order) string {
+		t.Helper()
+		uri, err := i.Sign(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return uri
+	}
+}
+
+// web is an HTTP client on one connection.
+type web struct {
+	t    *testing.T
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+func newWeb(t *testing.T, addr string) *web {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(60 * time.Second))
+	return &web{t, conn, bufio.NewReader(conn)}
+}
+
+func request(method, target string, fields ...string) string {
+	s := method + " " + target + " HTTP/1.1\r\nHost: elsewhere.example\r\n"
+	for _, f := range fields {
+		s += f + "\r\n"
+	}
+	return s + "\r\n"
+}
+
+// read reads the next response.
+func (w *web) read() (*http.Response, string) {
+	w.t.Helper()
+	p, err := http.ReadResponse(w.r, nil)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	b, err := io.ReadAll(p.Body)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return p, string(b)
+}
+
+// get sends a request and reads its response.
+func (w *web) get(method, target string, fields ...string) (int, string, http.Header) {
+	w.t.Helper()
+	if _, err := io.WriteString(w.conn, request(method, target, fields...)); err != nil {
+		w.t.Fatal(err)
+	}
+	p, body := w.read()
+	return p.StatusCode, strings.TrimSuffix(body, "\n"), p.Header
+}
+
+// The proof: of 10,000 valid, expired and tampered requests each gets one answer, no tampered or expired one
+// is served, and no store sees one that is refused.
+func TestTenThousandSignedRequests(t *testing.T) {
+	const total, conns, window = 10000, 8, 16
+	r, addr := signedRig(t, "")
+	signs := []func(signedurl.Order) string{signer(t, signedKeys, "old"), signer(t, signedKeys, "new"), signer(t, signedKeys, "edge")}
+	now := time.Now()
+	results := make(chan [2]int, conns) // served and refused
+	errs := make(chan error, conns)
+	for n := range conns {
+		w := newWeb(t, addr)
+		type want struct {
+			status int
+			body   string
+		}
+		wants := make(chan want, window) // as many are under way on the connection
+		var lines []string
+		var due []want
+		for i := n; i < total; i += conns {
+			o := fmt.Sprintf("%016x", i)
+			order := signedurl.Order{Target: "/game-assets/" + o + "/1", Expiry: now.Add(time.Hour)}
+			sign := signs[i/4%3]
+			switch i % 4 {
+			case 0, 1:
+				lines, due = append(lines, sign(order)), append(due, want{200, content(o, "1")})
+			case 2:
+				order.Expiry = now.Add(-time.Minute)
+				lines, due = append(lines, sign(order)), append(due, want{403, "expired"})
+			case 3: // another object, part or signature than the one signed
+				uri := sign(order)
+				switch i / 12 % 3 {
+				case 0:
+					uri = strings.Replace(uri, o, fmt.Sprintf("%016x", i+total), 1)
+				case 1:
+					uri = strings.Replace(uri, "/1?", "/2?", 1)
+				case 2:
+					last := "A"
+					if at := len(uri) - 8; uri[at] == 'A' || uri[at] == 'a' {
+						last = "0"
+					}
+					uri = uri[:len(uri)-8] + last + uri[len(uri)-7:]
+				}
+				lines, due = append(lines, uri), append(due, want{403, ""})
+			}
+		}
+		go func() {
+			for i, l := range lines {
+				wants <- due[i]
+				if _, err := io.WriteString(w.conn, request("GET", l)); err != nil {
+					errs <- err
+					return
+				}
+			}
+			close(wants)
+		}()
+		go func() {
+			var got [2]int
+			for want := range wants {
+				p, err := http.ReadResponse(w.r, nil)
+				if err != nil {
+					errs <- err
+					return
+				}
+				b, err := io.ReadAll(p.Body)
+				if err != nil || p.StatusCode != want.status || want.body != "" && strings.TrimSuffix(string(b), "\n") != want.body {
+					errs <- fmt.Errorf("%d %.60q, want %d %.60q: %v", p.StatusCode, b, want.status, want.body, err)
+					return
+				}
+				got[map[bool]int{true: 0, false: 1}[want.status == 200]]++
+			}
+			// Nothing beyond the one answer each: the next one is this request's.
+			if _, err := io.WriteString(w.conn, request("GET", "/none")); err != nil {
+				errs <- err
+				return
+			}
+			if p, err := http.ReadResponse(w.r, nil); err != nil || p.StatusCode != 403 {
+				errs <- fmt.Errorf("after all: %v %v", p, err)
+				return
+			}
+			results <- got
+		}()
+	}
+	served, refused := 0, 0
+	for range conns {
+		select {
+		case err := <-errs:
+			t.Fatal(err)
+		case got := <-results:
+			served, refused = served+got[0], refused+got[1]
+		}
+	}
+	if served != total/2 || refused != total/2 {
+		t.Errorf("%d served, %d refused", served, refused)
+	}
+	for _, a := range r.asks("") {
+		i, err := strconv.ParseUint(a.fields["name"], 16, 64)
+		if err != nil || i >= total || i%4 > 1 || a.fields["piece"] != "1" {
+			t.Fatalf("a store saw %v", a.fields)
+		}
+	}
+	if n := r.counter("signed_admitted"); n != total/2 {
+		t.Errorf("%d admitted", n)
+	}
+}
+
+// A token expires between part 3 and part 4 of one replay: part 3, which was admitted before, is served whole,
+// part 4 is refused, and a renewed token goes on.
+func TestATokenExpiresBetweenTwoParts(t *testing.T) {
+	r, addr := signedRig(t, "")
+	held := make(chan *ask, 10)
+	r.on(func(a *ask) { held <- a })
+	sign := signer(t, signedKeys, "new")
+	path := "/replay-video/" + object + "/"
+	pattern := base + path + "[0-9]+"
+	// Whole seconds, of which the leeway gives three more.
+	expiry := time.Now().Add(-1 * time.Second).Truncate(time.Second)
+	token := func(part string, renew time.Duration) string {
+		return sign(signedurl.Order{Target: path + part, Pattern: pattern, Expiry: expiry, Renew: renew})
+	}
+	w := newWeb(t, addr)
+	if _, err := io.WriteString(w.conn, request("GET", token("3", time.Minute))); err != nil {
+		t.Fatal(err)
+	}
+	a := <-held
+	<-time.After(time.Until(expiry.Add(3*time.Second + 10*time.Millisecond))) // the edge of the leeway
+	other := newWeb(t, addr)
+	if status, body, _ := other.get("GET", token("4", 0)); status != 403 || body != "expired" {
+		t.Errorf("part 4: %d %s", status, body)
+	}
+	done(a)
+	p, body := w.read()
+	if p.StatusCode != 200 || body != content(object, "3") {
+		t.Fatalf("part 3: %d", p.StatusCode)
+	}
+	cookies := p.Cookies()
+	if len(cookies) != 1 || cookies[0].Name != signedurl.URISigningPackage {
+		t.Fatalf("no fresh token: %v", p.Header)
+	}
+	r.on(done)
+	fresh := "Cookie: " + cookies[0].Name + "=" + cookies[0].Value
+	if status, body, _ := other.get("GET", path+"4", fresh); status != 200 || body != content(object, "4") {
+		t.Errorf("part 4 with the fresh token: %d", status)
+	}
+	if status, body, _ := other.get("GET", "/replay-video/00000000000000aa/4", fresh); status != 403 || body != "uri_mismatch" {
+		t.Errorf("another object with it: %d %s", status, body)
+	}
+}
+
+// Who may be told what, and when.
+func TestSignedAnswers(t *testing.T) {
+	r, addr := signedRig(t, "")
+	sign := signer(t, signedKeys, "edge")
+	w := newWeb(t, addr)
+	good := func(target string) string {
+		return sign(signedurl.Order{Target: target, Pattern: "/*", Expiry: time.Now().Add(time.Hour)})
+	}
+	asset := good("/game-assets/" + object + "/3?shard=17")
+	turn := good("/turn-submit/" + object + "/0")
+	status, body, h := w.get("GET", asset)
+	if status != 200 || body != content(object, "3") || h.Get("ETag") != `"tag-`+object+`"` {
+		t.Errorf("%d %v", status, h)
+	}
+	if _, err := io.WriteString(w.conn, strings.Repeat(request("HEAD", asset), 1)); err != nil {
+		t.Fatal(err)
+	}
+	if p, err := http.ReadResponse(w.r, &http.Request{Method: "HEAD"}); err != nil || p.StatusCode != 200 || p.ContentLength != int64(len(body)) {
+		t.Errorf("HEAD: %v %v", p, err)
+	}
+	r.on(func(a *ask) { a.reply("KEEP", "why=warm,digest="+a.fields["got"], "") })
+	if status, body, h := w.get("GET", asset, `If-None-Match: "tag-1"`); status != 304 || body != "" || h.Get("ETag") != `"tag-1"` {
+		t.Errorf("If-None-Match: %d %v", status, h)
+	}
+	r.on(done)
+	if status, _, _ := w.get("POST", turn, "Idempotency-Key: \"k-1\"", "Content-Length: 0"); status != 200 {
+		t.Errorf("POST: %d", status)
+	}
+	if got := r.asks(object); got[len(got)-1].fields["dedupe"] != "k-1" && got[0].fields["dedupe"] != "k-1" &&
+		!strings.Contains(fmt.Sprint(keysOf(got)), "k-1") {
+		t.Errorf("the key did not pass: %v", keysOf(got))
+	}
+	seen := len(r.asks(""))
+	for _, c := range []struct {
+		method, target string
+		status         int
+		fields         []string
+	}{
+		{"GET", turn, 405, nil}, {"POST", asset, 405, []string{"Content-Length: 0"}},
+		{"POST", turn, 400, []string{"Content-Length: 0"}},
+		{"POST", turn, 400, []string{"Content-Length: 0", "Idempotency-Key: a,b"}},
+		{"GET", good("/nothing/" + object + "/3"), 404, nil}, {"GET", good("/game-assets/xyz/3"), 404, nil},
+		{"GET", good("/game-assets/" + object + "/03"), 404, nil},
+		{"GET", good("/game-assets/" + object + "/3?shard=256"), 400, nil},
+		{"GET", asset + "&hdnts=x", 403, nil}, {"GET", "/game-assets/" + object + "/3", 403, nil},
+		{"GET", strings.Replace(asset, "/3?", "/%33?", 1), 403, nil},
+	} {
+		if status, body, _ := w.get(c.method, c.target, c.fields...); status != c.status {
+			t.Errorf("%s %s: %d %s, want %d", c.method, c.target, status, body, c.status)
+		}
+	}
+	for raw, want := range map[string]int{
+		"GET  / HTTP/1.1\r\n\r\n": 400, "GET / HTTP/2.0\r\n\r\n": 505, "GET / HTTP/1.1\r\n\r\n": 400,
+		"GET / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n":              501,
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n": 400,
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999\r\n\r\n":                  413,
+		"GET / HTTP/1.1\r\nHost: a\r\n folded: x\r\n\r\n":                              400,
+		"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 20<<10) + "\r\n\r\n":  431,
+	} {
+		bad := newWeb(t, addr)
+		_, _ = io.WriteString(bad.conn, raw)
+		if p, _ := bad.read(); p.StatusCode != want || !p.Close {
+			t.Errorf("%.40q: %d", raw, p.StatusCode)
+		}
+	}
+	if n := len(r.asks("")); n != seen {
+		t.Errorf("the stores saw %d of these", n-seen)
+	}
+	r.on(func(*ask) {}) // nobody answers
+	began := time.Now()
+	if status, _, _ := w.get("GET", asset); status != 504 || time.Since(began) < 2*time.Second {
+		t.Errorf("past the deadline: %d after %v", status, time.Since(began))
+	}
+	for _, s := range r.stores {
+		s.l.Close()
+		s.on(func(a *ask) { a.conn.Close() })
+	}
+	if status, _, h := w.get("GET", asset); status != 503 || h.Get("Retry-After") == "" {
+		t.Errorf("refused: %d %v", status, h)
+	}
+}
+
+func keysOf(l []*ask) (keys []string) {
+	for _, a := range l {
+		keys = append(keys, a.fields["dedupe"])
+	}
+	return keys
+}
+
+func TestChecksOfBalancers(t *testing.T) {
+	agent, health := free(t), free(t)
+	r, _ := signedRig(t, fmt.Sprintf("[health]\nagent_listen = %q\nhttp_listen = %q", agent, health))
+	ask := func() string {
+		c, err := net.Dial("tcp", agent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(patience))
+		b, err := io.ReadAll(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(b)
+	}
+	eventually(t, "it is ready", func() bool { return ask() == "ready up 100%\n" })
+	if status, _, _ := newWeb(t, health).get("GET", "/healthz"); status != 200 {
+		t.Errorf("health: %d", status)
+	}
+	if status, _, _ := newWeb(t, health).get("GET", "/other"); status != 404 {
+		t.Errorf("another path: %d", status)
+	}
+	_ = r.cmd.Process.Signal(os.Interrupt)
+	r.logged("msg=draining")
+	if got := ask(); got != "drain\n" {
+		t.Errorf("while draining: %q", got)
+	}
+	if status, _, _ := newWeb(t, health).get("GET", "/healthz"); status != 503 {
+		t.Errorf("while draining: %d", status)
+	}
+}
