--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -14,6 +14,7 @@
 	queue  []func()
 	wake   chan struct{}
 	closed bool
+	done   chan struct{}
 
 	now    time.Time
 	timers timerHeap
@@ -22,7 +23,7 @@
 
 // NewLoop returns a loop that [Loop.Run] starts.
 func NewLoop() *Loop {
-	return &Loop{wake: make(chan struct{}, 1), now: time.Now()}
+	return &Loop{wake: make(chan struct{}, 1), done: make(chan struct{}), now: time.Now()}
 }
 
 // Post has the loop run f after all that was posted before. It may be called from any goroutine, and never
@@ -45,7 +46,10 @@
 // Close ends the loop after the function that runs now; what was posted and is still due is dropped.
 func (l *Loop) Close() {
 	l.mu.Lock()
-	l.closed = true
+	if !l.closed {
+		l.closed = true
+		close(l.done)
+	}
 	l.mu.Unlock()
 	select {
 	case l.wake <- struct{}{}:
@@ -53,6 +57,9 @@
 	}
 }
 
+// Done is closed when the loop is.
+func (l *Loop) Done() <-chan struct{} { return l.done }
+
 // Now is the time at which the present function began to run. It never goes back.
 func (l *Loop) Now() time.Time { return l.now }
 
--- /dev/null
+++ b/middleware/example_test.go
@@ -0,0 +1,95 @@
+package middleware_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/sirupsen/logrus"
+
+	"larchusher/control"
+	"larchusher/gateway"
+	"larchusher/middleware"
+	"larchusher/signedurl"
+)
+
+// memory is a backend that answers from memory. A real one sends the attempt off and posts its end to the loop.
+type memory struct {
+	loop *gateway.Loop
+	gw   *gateway.Gateway
+}
+
+func (m *memory) Send(a *gateway.Attempt) {
+	m.loop.Post(func() {
+		if m.gw.Clear(a) { // it may still go
+			m.gw.Ended(a, gateway.Result{Status: control.OK, Note: control.NoteHit, Tag: "v1",
+				Body: fmt.Appendf(nil, "%s part %d from %s", a.Request.Object, a.Request.Part, a.Server)})
+		}
+	})
+}
+
+func (m *memory) Cancel(*gateway.Attempt) {}
+
+// The gateway as a library, as middleware of a chi router.
+func Example() {
+	settings := control.Settings{Zone: "here", Zones: []string{"here"}, Kinds: []string{"box", "origin"},
+		ParentKind: -1, OriginKind: 1, Step: time.Millisecond, Classes: []control.Class{
+			{Name: "assets", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1}}}
+	loop := gateway.NewLoop()
+	backend := &memory{loop: loop}
+	gw, err := gateway.New(gateway.Config{Loop: loop, Settings: settings, Backend: backend, Log: logrus.New()})
+	if err != nil {
+		panic(err)
+	}
+	backend.gw = gw
+	loop.Post(func() {
+		gw.Members(control.Members{Kind: control.StaleList, Entries: []control.Member{
+			{ID: "c1", Zone: "here", Kind: "box"}, {ID: "o", Zone: "here", Kind: "origin"}}})
+	})
+	go loop.Run()
+	defer loop.Close()
+
+	urls := signedurl.Config{Base: "https://assets.example", Leeway: 2 * time.Second, Keys: []signedurl.Key{
+		{ID: "k1", Form: signedurl.EdgeAuth, Secret: []byte("sixteen bytes or more")}}}
+	verifier, err := signedurl.NewVerifier(urls)
+	if err != nil {
+		panic(err)
+	}
+	guard, err := middleware.New(middleware.Config{Loop: loop, Gateway: gw, Settings: settings, Verifier: verifier})
+	if err != nil {
+		panic(err)
+	}
+	router := chi.NewRouter()
+	router.Use(guard)
+	router.Get("/about", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "about") })
+	server := httptest.NewServer(router)
+	defer server.Close()
+
+	issuer, err := signedurl.NewIssuer(urls, "k1")
+	if err != nil {
+		panic(err)
+	}
+	signed, err := issuer.Sign(signedurl.Order{Target: "/assets/7f3a9c21e0b4d655/3", Expiry: time.Now().Add(time.Minute)})
+	if err != nil {
+		panic(err)
+	}
+	for _, target := range []string{signed, "/assets/7f3a9c21e0b4d655/3", signed + "0", "/about"} {
+		resp, err := http.Get(server.URL + target)
+		if err != nil {
+			panic(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		fmt.Println(resp.StatusCode, string(body))
+	}
+	// Output:
+	// 200 7f3a9c21e0b4d655 part 3 from c1
+	// 403 missing_token
+	//
+	// 403 malformed_token
+	//
+	// 200 about
+}
--- /dev/null
+++ b/middleware/middleware.go
@@ -0,0 +1,97 @@
+// Package middleware puts a gateway before the handlers of net/http, or of a router that takes its
+// middleware, such as chi. Requests for a class of the gateway are verified and answered by it, by the rules of
+// the signed front; all others go on to the next handler.
+package middleware
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"larchusher/control"
+	"larchusher/gateway"
+	"larchusher/internal/httpapi"
+	"larchusher/signedurl"
+)
+
+// Config is what the middleware is made of.
+type Config struct {
+	Loop     *gateway.Loop
+	Gateway  *gateway.Gateway
+	Settings control.Settings // those of the gateway
+	Verifier *signedurl.Verifier
+	Issuer   *signedurl.Issuer // renews tokens; nil: they are not renewed
+}
+
+// New returns the middleware.
+func New(cfg Config) (func(http.Handler) http.Handler, error) {
+	if cfg.Loop == nil || cfg.Gateway == nil || cfg.Verifier == nil {
+		return nil, errors.New("middleware: Loop, Gateway and Verifier are needed")
+	}
+	m := &middleware{Config: cfg, api: httpapi.New(cfg.Settings, cfg.Verifier, cfg.Issuer),
+		start: uint64(time.Now().UnixNano())}
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serve(w, r, next) })
+	}, nil
+}
+
+type middleware struct {
+	Config
+	api    *httpapi.API
+	start  uint64
+	serial atomic.Uint64
+}
+
+// serve answers one request. The goroutine is net/http's; it waits for the gateway's one answer.
+func (m *middleware) serve(w http.ResponseWriter, r *http.Request, next http.Handler) {
+	target := r.RequestURI // as sent: r.URL has been decoded
+	if !m.api.Knows(target) {
+		next.ServeHTTP(w, r)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, httpapi.BodyMost))
+	if err != nil {
+		status := http.StatusBadRequest
+		var long *http.MaxBytesError
+		if errors.As(err, &long) {
+			status = http.StatusRequestEntityTooLarge
+		}
+		write(w, (&httpapi.Problem{Status: status, Reason: "the body cannot be read"}).Response())
+		return
+	}
+	ad, p := m.api.Admit(httpapi.Call{Method: r.Method, Target: target, Header: r.Header.Values, Body: body,
+		At: time.Now()})
+	if p != nil {
+		write(w, p.Response())
+		return
+	}
+	ad.Request.Ref = fmt.Sprintf("%016x", m.start+m.serial.Add(1))
+	answer := make(chan gateway.Answer, 1)
+	ad.Request.Answer = func(a gateway.Answer) { answer <- a }
+	if !m.Loop.Post(func() { m.Gateway.Submit(ad.Request) }) {
+		answer <- gateway.Answer{Outcome: gateway.Refused, RetryAfter: time.Second, Harmless: true}
+	}
+	select {
+	case a := <-answer:
+		write(w, m.api.Respond(ad, a, time.Now()))
+	case <-m.Loop.Done(): // the gateway ended under it
+		write(w, m.api.Respond(ad, gateway.Answer{Outcome: gateway.Failed}, time.Now()))
+	case <-r.Context().Done():
+		m.Loop.Post(func() { m.Gateway.Abandon(ad.Request) })
+	}
+}
+
+func write(w http.ResponseWriter, r httpapi.Response) {
+	for _, f := range r.Header {
+		w.Header().Add(f[0], f[1])
+	}
+	if r.Status != http.StatusNotModified {
+		w.Header().Set("Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	w.WriteHeader(r.Status)
+	_, _ = w.Write(r.Body) // net/http drops it for HEAD
+}
