Retire a restarted store's connections; bound what connections may hold

A connection that never sent a byte was never swept (both fronts now count it from its opening), a client's read buffer was kept at up to 192 KB between messages (now 16 KB), and a store's string could be 1 MB (now 256 KB; objects go up to 240,000 bytes).

Tests: TestARestartedStoreGetsNewConnections, TestConnectionsBeyondTheShareAreClosed.

--- a/cmd/larchusher/main.go
+++ b/cmd/larchusher/main.go
@@ -131,7 +131,7 @@
 		go p.link.Read(p.loop, p.gw.Heard)
 	}
 	p.front = msgpackrpc.New(p.loop, p.gw, p.log)
-	l, err := p.engine.Listen(cfg.Listen, third+third/4, p.front.Accept, nil)
+	l, err := p.engine.Listen(cfg.Listen, third+third/4, p.front.Accept)
 	if err != nil {
 		return err
 	}
@@ -171,7 +171,7 @@
 		addr   string
 		listen func(addr string) (*transport.Listener, error)
 	}{
-		{s.Listen, func(a string) (*transport.Listener, error) { return p.engine.Listen(a, most, p.signed.Accept, nil) }},
+		{s.Listen, func(a string) (*transport.Listener, error) { return p.engine.Listen(a, most, p.signed.Accept) }},
 		{s.AgentListen, func(a string) (*transport.Listener, error) { return check.Agent(p.engine, a, 16) }},
 		{s.HTTPListen, func(a string) (*transport.Listener, error) { return check.Health(p.engine, a, 16) }},
 	} {
--- a/internal/net/agentcheck/agentcheck.go
+++ b/internal/net/agentcheck/agentcheck.go
@@ -46,12 +46,7 @@
 // Agent returns the callbacks of an agent-check connection. A client may send a line first, or nothing: the
 // answer goes out at once and the connection ends, as the protocol has it.
 func (c *Checker) Agent(engine *transport.Engine, addr string, most int) (*transport.Listener, error) {
-	return engine.Listen(addr, most, func() transport.Handler { return ignore{} }, func(tc *transport.Conn) {
-		c.Loop.Post(func() {
-			_ = tc.Write([]byte(c.State().agent()))
-			c.close(tc)
-		})
-	})
+	return engine.Listen(addr, most, func() transport.Handler { return agent{c} })
 }
 
 // close ends a connection once its answer has left.
@@ -63,15 +58,23 @@
 	tc.Close(errors.New("done"))
 }
 
-// ignore passes over what comes.
-type ignore struct{}
+// agent is one agent-check connection.
+type agent struct{ checker *Checker }
+
+// OnReady answers at once.
+func (a agent) OnReady(tc *transport.Conn) {
+	a.checker.Loop.Post(func() {
+		_ = tc.Write([]byte(a.checker.State().agent()))
+		a.checker.close(tc)
+	})
+}
 
-func (ignore) OnBytes(*transport.Conn, []byte, time.Time) error { return nil }
-func (ignore) OnClosed(*transport.Conn, error)                  {}
+func (agent) OnBytes(*transport.Conn, []byte, time.Time) error { return nil }
+func (agent) OnClosed(*transport.Conn, error)                  {}
 
 // Health listens for GET /healthz: 200 while requests are welcome, else 503.
 func (c *Checker) Health(engine *transport.Engine, addr string, most int) (*transport.Listener, error) {
-	return engine.Listen(addr, most, func() transport.Handler { return &health{checker: c} }, nil)
+	return engine.Listen(addr, most, func() transport.Handler { return &health{checker: c} })
 }
 
 // health is one connection, for one request.
--- a/internal/net/journal/events.go
+++ b/internal/net/journal/events.go
@@ -81,7 +81,7 @@
 type Sink interface {
 	Members(control.Members)
 	Purge(control.Purge)
-	Place(id, addr string)
+	Place(id, addr string, since int64)
 	Remove(id string)
 }
 
@@ -171,7 +171,7 @@
 			continue
 		}
 		named[h.Name], b.here[h.Name] = true, true
-		b.Sink.Place(h.Name, h.Address)
+		b.Sink.Place(h.Name, h.Address, h.SinceMs)
 	}
 	if kind != control.Changes { // what a whole list does not name is gone
 		for name := range b.here {
--- a/internal/net/msgpackrpc/front.go
+++ b/internal/net/msgpackrpc/front.go
@@ -16,6 +16,7 @@
 	openMost  = 32               // requests open on one connection; further ones are refused
 	idleMost  = 30 * time.Second // clients close sooner; this is for those that vanished
 	sweep     = 5 * time.Second
+	keptMost  = 16 << 10  // of a connection's buffer, between messages
 	errorBack = "Backoff" // refused
 	errorLost = "Lost"    // failed
 )
@@ -74,6 +75,16 @@
 	gone   bool
 }
 
+// OnOpened counts the connection among those that are swept, though it may never send a byte.
+func (c *conn) OnOpened(tc *transport.Conn) {
+	c.front.loop.Post(func() {
+		if !c.gone {
+			c.tc, c.active = tc, c.front.loop.Now()
+			c.front.conns[c] = true
+		}
+	})
+}
+
 // OnBytes cuts what came into messages. A message that has come whole carries the time at which it did.
 func (c *conn) OnBytes(tc *transport.Conn, b []byte, at time.Time) error {
 	if len(c.buf) > 0 {
@@ -99,7 +110,7 @@
 		bad = fmt.Errorf("malformed message: %w", err)
 		break
 	}
-	if len(b) == 0 && cap(c.buf) > 2*frameMost {
+	if len(b) == 0 && cap(c.buf) > keptMost { // many clients send a large body once in a while
 		c.buf = nil
 	}
 	c.buf = append(c.buf[:0], b...)
@@ -128,8 +139,7 @@
 	if c.gone {
 		return
 	}
-	c.tc, c.active = tc, c.front.loop.Now()
-	c.front.conns[c] = true
+	c.active = c.front.loop.Now()
 	for _, m := range batch {
 		switch {
 		case m.kind == typeNotify && m.method == "cancelRequest":
--- a/internal/net/resp/parser.go
+++ b/internal/net/resp/parser.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	bulkMost = 1 << 20 // bytes of one string; objects go up to 240,000
+	bulkMost = 256 << 10 // bytes of one string; objects go up to 240,000
 	argsMost = 8
 	lineMost = 32
 )
--- a/internal/net/resp/pool.go
+++ b/internal/net/resp/pool.go
@@ -69,21 +69,21 @@
 // store is one member of the list. Connections belong to it, not to its address: addresses are reused.
 type store struct {
 	id, addr string
+	since    int64
 	conns    []*conn
 }
 
-// Place says where a store listens, as the list named it.
-func (p *Pool) Place(id, addr string) {
+// Place says where a store listens and since when it runs, as the list named it.
+func (p *Pool) Place(id, addr string, since int64) {
 	s := p.stores[id]
 	if s == nil {
 		s = &store{id: id}
 		p.stores[id] = s
 	}
-	if s.addr != addr { // it moved: nothing new goes where it was
-		for _, c := range s.conns {
-			c.retired = true
-		}
-		s.addr = addr
+	// Guards against connections to what ran before: a machine that vanished left them open without a word.
+	if s.addr != addr || s.since != since {
+		s.retire()
+		s.addr, s.since = addr, since
 	}
 }
 
@@ -91,15 +91,20 @@
 func (p *Pool) Remove(id string) {
 	if s := p.stores[id]; s != nil {
 		s.addr = ""
-		for _, c := range s.conns {
-			c.retired = true
-		}
+		s.retire()
 		if len(s.conns) == 0 {
 			delete(p.stores, id)
 		}
 	}
 }
 
+// retire has the store's connections take nothing new.
+func (s *store) retire() {
+	for _, c := range s.conns {
+		c.retired = true
+	}
+}
+
 // conn is one connection to a store, or one that is coming up.
 type conn struct {
 	pool    *Pool
--- a/internal/net/signedfront/front.go
+++ b/internal/net/signedfront/front.go
@@ -94,6 +94,16 @@
 	gone    bool
 }
 
+// OnOpened counts the connection among those that are swept, though it may never send a byte.
+func (c *conn) OnOpened(tc *transport.Conn) {
+	c.front.loop.Post(func() {
+		if !c.gone {
+			c.tc, c.active = tc, c.front.loop.Now()
+			c.front.conns[c] = true
+		}
+	})
+}
+
 // OnBytes hands on what came.
 func (c *conn) OnBytes(tc *transport.Conn, b []byte, at time.Time) error {
 	b = append([]byte(nil), b...)
@@ -124,8 +134,7 @@
 	if len(c.buf) == 0 {
 		c.began = now
 	}
-	c.tc, c.at, c.active = tc, at, now
-	c.front.conns[c] = true
+	c.at, c.active = at, now
 	if len(c.buf)+len(b) > aheadMost {
 		c.last = true
 		tc.Close(fmt.Errorf("more than %d bytes ahead of an answer", aheadMost))
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -2,6 +2,7 @@
 package transport
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -28,6 +29,12 @@
 	OnClosed(c *Conn, err error)
 }
 
+// Opener is a handler that is told of its connection before the first byte comes. It may not write yet.
+type Opener interface{ OnOpened(c *Conn) }
+
+// Speaker is a handler that speaks first: it is told once the connection can be written.
+type Speaker interface{ OnReady(c *Conn) }
+
 // Engine owns the connections of a program.
 type Engine struct {
 	log     logrus.FieldLogger
@@ -135,8 +142,8 @@
 }
 
 // Listen accepts connections on addr, and asks handler for the callbacks of each. At most `most` are held
-// open at once; a connection beyond that is closed as it comes. opened, if not nil, is called with each.
-func (e *Engine) Listen(addr string, most int, handler func() Handler, opened func(*Conn)) (*Listener, error) {
+// open at once; a connection beyond that is closed as it comes.
+func (e *Engine) Listen(addr string, most int, handler func() Handler) (*Listener, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listening on %s: %w", addr, err)
@@ -146,7 +153,7 @@
 		for {
 			conn, err := l.Accept()
 			if err != nil {
-				if ne, ok := err.(net.Error); ok && ne.Timeout() || isOutOfFiles(err) {
+				if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED) {
 					time.Sleep(5 * time.Millisecond)
 					continue
 				}
@@ -163,24 +170,20 @@
 				e.log.WithError(err).Warn("taking a connection over")
 				continue
 			}
-			c := e.wrap(nc, &counted{Handler: handler(), open: &open})
-			if e.add(c); opened != nil {
-				opened(c)
+			h := handler()
+			c := e.wrap(nc, &counted{Handler: h, open: &open})
+			if o, ok := h.(Opener); ok {
+				o.OnOpened(c)
+			}
+			e.add(c)
+			if s, ok := h.(Speaker); ok {
+				s.OnReady(c)
 			}
 		}
 	}()
 	return &Listener{l: l}, nil
 }
 
-func isOutOfFiles(err error) bool {
-	oe, ok := err.(*net.OpError)
-	if !ok {
-		return false
-	}
-	se, ok := oe.Err.(interface{ Unwrap() error })
-	return ok && (se.Unwrap() == syscall.EMFILE || se.Unwrap() == syscall.ENFILE)
-}
-
 // counted gives a listener's place back when its connection ends.
 type counted struct {
 	Handler
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -433,3 +433,53 @@
 		})
 	}
 }
+
+// A store that started anew may have left its old connections open without a word.
+func TestARestartedStoreGetsNewConnections(t *testing.T) {
+	r := newRig(t).start()
+	c := r.client()
+	ask := func(i int) {
+		c.send("game-assets", fmt.Sprintf("%016x", i), 2*time.Second, "")
+		c.next()
+	}
+	conns := func() int { return r.sum(func(s *store) int { return s.conns }) }
+	for i := range 20 {
+		ask(i)
+	}
+	if n := conns(); n != 2 {
+		t.Fatalf("%d connections", n)
+	}
+	since := fmt.Sprint(`"since_ms":`, time.Now().Add(-10*time.Second).UnixMilli())
+	r.journal.tell(2, `"hosts":{"index":2,"snapshot":false,"endpoints":[`+
+		strings.ReplaceAll(r.host("c1", "SERVING")+","+r.host("c2", "SERVING"), `"since_ms":0`, since)+`]}`)
+	eventually(t, "the event is read", func() bool { return r.counter("journal_events") == 1 })
+	i := 0
+	eventually(t, "both are connected to anew", func() bool { // cold stores get little at first
+		ask(i)
+		i++
+		return conns() == 4
+	})
+}
+
+// Clients hold at most their share of the descriptors.
+func TestConnectionsBeyondTheShareAreClosed(t *testing.T) {
+	r := newRig(t)
+	r.config["limits"] = map[string]any{"cores": 1, "memory_mb": 192, "sockets": 48}
+	r.start()
+	var held []*client
+	for range 20 { // a third of the descriptors, and a quarter of that
+		held = append(held, r.client())
+	}
+	for _, c := range held {
+		c.send("game-assets", object, 2*time.Second, "")
+		c.next()
+	}
+	r.client().ended()
+	held[0].conn.Close()
+	eventually(t, "its place is given on", func() bool { return r.counter("conns_closed") > 0 })
+	c := r.client()
+	c.send("game-assets", object, 2*time.Second, "")
+	if a := c.next(); a.err != "" {
+		t.Errorf("%+v", a)
+	}
+}
--- a/test/rig_test.go
+++ b/test/rig_test.go
@@ -92,6 +92,20 @@
 		name, s.addr, zone, s.kind, status)
 }
 
+// write writes the configuration to a file.
+func (r *rig) write() (path string) {
+	r.t.Helper()
+	data, err := json.Marshal(r.config)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	path = filepath.Join(r.t.TempDir(), "config.json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+	return path
+}
+
 // start starts the program and waits until it serves.
 func (r *rig) start() *rig {
 	r.t.Helper()
@@ -103,14 +117,7 @@
 	}
 	r.config["known"] = json.RawMessage(`{"pos":1,"entries":[{"pos":1,"hosts":{"index":1,"snapshot":true,"endpoints":[` +
 		strings.Join(hosts, ",") + `]}}]}`)
-	data, err := json.Marshal(r.config)
-	if err != nil {
-		r.t.Fatal(err)
-	}
-	path := filepath.Join(r.t.TempDir(), "config.json")
-	if err := os.WriteFile(path, data, 0o600); err != nil {
-		r.t.Fatal(err)
-	}
+	path := r.write()
 	r.cmd = exec.Command(program, r.args...)
 	r.cmd.Env = append(append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_NAME=n0"), r.env...)
 	r.cmd.Stderr = r.log
@@ -565,14 +572,7 @@
 	if badKnown {
 		r.config["known"] = json.RawMessage(`{"pos":1,"entries":[{"hosts":{"endpoints":[` + r.host("c1", "HUH") + `]}}]}`)
 	}
-	data, err := json.Marshal(r.config)
-	if err != nil {
-		r.t.Fatal(err)
-	}
-	path := filepath.Join(r.t.TempDir(), "config.json")
-	if err := os.WriteFile(path, data, 0o600); err != nil {
-		r.t.Fatal(err)
-	}
+	path := r.write()
 	cmd := exec.Command(program, r.args...)
 	cmd.Env = append(append(os.Environ(), "BALANCER_CONFIG="+path), r.env...)
 	out, err := cmd.CombinedOutput()
