--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -40,6 +40,7 @@
 	log     logrus.FieldLogger
 	engine  *nbio.Engine
 	waiting atomic.Int64 // bytes that wait to be written
+	handing sync.Mutex   // held while a connection is made, and taken before its parts are read
 
 	Opened, Closed atomic.Uint64
 	In, Out        atomic.Uint64 // bytes
@@ -52,8 +53,8 @@
 	e.engine = nbio.NewEngine(nbio.Config{Name: "larchusher", NPoller: 1, ReadBufferSize: readSize,
 		MaxWriteBufferSize: writeMost})
 	e.engine.OnData(func(nc *nbio.Conn, b []byte) {
-		c, ok := nc.Session().(*Conn)
-		if !ok {
+		c := e.of(nc)
+		if c == nil {
 			return
 		}
 		e.In.Add(uint64(len(b)))
@@ -63,14 +64,14 @@
 	})
 	e.engine.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
 		e.Out.Add(uint64(n))
-		if c, ok := nc.Session().(*Conn); ok {
+		if c := e.of(nc); c != nil {
 			c.waiting.Add(int64(-n))
 			e.waiting.Add(int64(-n))
 		}
 	})
 	e.engine.OnClose(func(nc *nbio.Conn, err error) {
-		c, ok := nc.Session().(*Conn)
-		if !ok {
+		c := e.of(nc)
+		if c == nil {
 			return
 		}
 		e.Closed.Add(1)
@@ -201,8 +202,19 @@
 // Close stops accepting; open connections stay.
 func (l *Listener) Close() { l.once.Do(func() { _ = l.l.Close() }) }
 
+// of returns the Conn of one of nbio's. Guards against reading it half made: nbio hands connections to its poller
+// through the kernel alone, which the memory model of Go knows nothing of.
+func (e *Engine) of(nc *nbio.Conn) *Conn {
+	e.handing.Lock()
+	defer e.handing.Unlock()
+	c, _ := nc.Session().(*Conn)
+	return c
+}
+
 // wrap makes a Conn, and add has the poller read it.
 func (e *Engine) wrap(nc *nbio.Conn, h Handler) *Conn {
+	e.handing.Lock()
+	defer e.handing.Unlock()
 	c := &Conn{Remote: nc.RemoteAddr().String(), engine: e, nc: nc, handler: h}
 	nc.SetSession(c)
 	_ = nc.SetNoDelay(true)
