Take signals in before anything is served

Seen: one of four runs of the process tests on two cores failed, TestADrainingStoreGetsNothingNew, with an empty log after SIGUSR1. Ruled out: a stuck loop (a lost wake-up in Loop.Run would need a post after the queue was taken without a token in the wake channel, which holds one). At fault: cmd/larchusher/main.go logged "serving" before mind called signal.Notify, so a signal that came at once was lost; SIGTERM would have ended the program at once. Now signals are taken in first.

--- a/cmd/larchusher/main.go
+++ b/cmd/larchusher/main.go
@@ -103,6 +103,11 @@
 	runtime.GOMAXPROCS(max(2, int(cfg.Limits.Cores)))
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 7 / 10)
 
+	// Before anything is served. Guards against a signal that comes as soon as the log says so: SIGUSR1 was lost,
+	// and SIGTERM would have ended the program without its answers.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+
 	p := &program{log: log.WithField("gateway", cfg.Name), loop: gateway.NewLoop()}
 	if p.engine, err = transport.New(p.log); err != nil {
 		return err
@@ -143,7 +148,7 @@
 	}
 	p.log.WithField("listen", l.Addr().String()).Info("serving")
 
-	go p.mind()
+	go p.mind(signals)
 	p.loop.Run()
 	p.print()
 	return nil
@@ -189,9 +194,7 @@
 }
 
 // mind hands signals to the loop.
-func (p *program) mind() {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+func (p *program) mind(signals <-chan os.Signal) {
 	ending := false
 	for s := range signals {
 		switch {
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -353,6 +353,16 @@
 	}
 }
 
+// A signal that comes as soon as the program says that it serves is minded. It was lost now and then, since
+// signals were taken in only after that.
+func TestSignalsAreMindedFromTheFirstMoment(t *testing.T) {
+	for range 10 {
+		r := newRig(t).start()
+		_ = r.cmd.Process.Signal(syscall.SIGUSR1)
+		r.logged("msg=counters")
+	}
+}
+
 // What is open at the end is answered before the kill that follows 3.7 s after SIGTERM.
 func TestTermAnswersWhatHangs(t *testing.T) {
 	r := newRig(t).start()
