--- a/cmd/larchusher/main.go
+++ b/cmd/larchusher/main.go
@@ -61,7 +61,10 @@
 	signed *signedfront.Front // nil: off
 	accept []*transport.Listener
 
-	draining bool
+	cfg        *config.Gateway // as taken in at the start
+	signedFile string          // empty: the signed front is off
+	reloads    int
+	draining   bool
 }
 
 func run(log *logrus.Logger) error {
@@ -106,9 +109,9 @@
 	// Before anything is served. Guards against a signal that comes as soon as the log says so: SIGUSR1 was lost,
 	// and SIGTERM would have ended the program without its answers.
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 
-	p := &program{log: log.WithField("gateway", cfg.Name), loop: gateway.NewLoop()}
+	p := &program{log: log.WithField("gateway", cfg.Name), loop: gateway.NewLoop(), cfg: cfg, signedFile: *signed}
 	if p.engine, err = transport.New(p.log); err != nil {
 		return err
 	}
@@ -132,6 +135,7 @@
 		return fmt.Errorf("known: %w", err)
 	}
 	p.feed = journal.Follow(p.loop, p.engine, p.log, cfg.Journal, book, cfg.Known.Pos)
+	cfg.Known = journal.Known{} // all of it has been taken in
 	if p.link != nil {
 		go p.link.Read(p.loop, p.gw.Heard)
 	}
@@ -156,18 +160,12 @@
 
 // second starts the front for signed URLs, and what balancers ask.
 func (p *program) second(s *config.Signed, cfg *config.Gateway) error {
-	verifier, err := signedurl.NewVerifier(s.URLs)
+	api, err := signedAPI(s, cfg)
 	if err != nil {
 		return err
 	}
-	var issuer *signedurl.Issuer
-	if s.RenewWith != "" {
-		if issuer, err = signedurl.NewIssuer(s.URLs, s.RenewWith); err != nil {
-			return err
-		}
-	}
 	most := cfg.Limits.Sockets / 8
-	p.signed = signedfront.New(p.loop, p.gw, httpapi.New(cfg.Settings, verifier, issuer), cfg.Seed, p.log)
+	p.signed = signedfront.New(p.loop, p.gw, api, cfg.Seed, p.log)
 	check := &agentcheck.Checker{Loop: p.loop, State: func() agentcheck.State {
 		return agentcheck.State{Ready: p.feed.Connected(), Draining: p.draining, Open: p.gw.Open(),
 			Most: cfg.Sockets.MostHeld}
@@ -193,6 +191,57 @@
 	return nil
 }
 
+// signedAPI has the keys of the signed front's file.
+func signedAPI(s *config.Signed, cfg *config.Gateway) (*httpapi.API, error) {
+	verifier, err := signedurl.NewVerifier(s.URLs)
+	if err != nil {
+		return nil, err
+	}
+	var issuer *signedurl.Issuer
+	if s.RenewWith != "" {
+		if issuer, err = signedurl.NewIssuer(s.URLs, s.RenewWith); err != nil {
+			return nil, err
+		}
+	}
+	return httpapi.New(cfg.Settings, verifier, issuer), nil
+}
+
+// reload reads the files again. What may change while the program runs is taken over by the loop: the journal's
+// address, and the signed front's keys. Requests and connections stay as they are. If one file is at fault, all
+// stays as it was. It runs beside the loop, which must not wait for files.
+func (p *program) reload() {
+	failed := func(err error) {
+		p.log.WithError(err).Error("reload: the old configuration stays")
+	}
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		failed(err)
+		return
+	}
+	var api *httpapi.API
+	if p.signedFile != "" {
+		s, err := config.LoadSigned(p.signedFile, os.Getenv)
+		if err == nil {
+			api, err = signedAPI(s, p.cfg)
+		}
+		if err != nil {
+			failed(err)
+			return
+		}
+	}
+	if keys := p.cfg.Fixed(cfg); len(keys) > 0 {
+		p.log.WithField("keys", strings.Join(keys, " ")).Warn("reload: these keys take effect with the next start")
+	}
+	p.loop.Post(func() {
+		p.reloads++
+		p.feed.Move(cfg.Journal)
+		if p.signed != nil {
+			p.signed.Use(api)
+		}
+		p.log.Info("reloaded")
+	})
+}
+
 // mind hands signals to the loop.
 func (p *program) mind(signals <-chan os.Signal) {
 	ending := false
@@ -200,6 +249,8 @@
 		switch {
 		case s == syscall.SIGUSR1:
 			p.loop.Post(p.print)
+		case s == syscall.SIGHUP:
+			p.reload()
 		case !ending:
 			ending = true
 			p.loop.Post(p.drain)
@@ -242,7 +293,7 @@
 	fields := logrus.Fields{"conns_opened": p.engine.Opened.Load(), "conns_closed": p.engine.Closed.Load(),
 		"bytes_in": p.engine.In.Load(), "bytes_out": p.engine.Out.Load(),
 		"malformed": p.front.Malformed, "excess": p.front.Excess,
-		"journal_connects": p.feed.Connects, "journal_events": p.feed.Events, "journal_dropped": p.feed.Dropped}
+		"reloads": p.reloads, "journal_connects": p.feed.Connects, "journal_events": p.feed.Events, "journal_dropped": p.feed.Dropped}
 	for name, n := range p.gw.Counters.All() {
 		fields[name] = n
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -130,6 +131,23 @@
 	return &c, nil
 }
 
+// Fixed names the keys in which a newer configuration differs that are taken in at the start only. Of the rest,
+// the journal's address may change at any time, and what is known is told anew by the journal.
+func (c *Gateway) Fixed(newer *Gateway) (keys []string) {
+	for _, k := range [...]struct {
+		key      string
+		old, new any
+	}{{"name", c.Name, newer.Name}, {"listen", c.Listen, newer.Listen}, {"limits", c.Limits, newer.Limits},
+		{"peer_listen", c.PeerListen, newer.PeerListen}, {"peers", c.Peers, newer.Peers},
+		{"peers_all", c.PeersAll, newer.PeersAll}, {"seed", c.Seed, newer.Seed},
+		{"settings", []any{c.Settings, c.Sockets}, []any{newer.Settings, newer.Sockets}}} {
+		if !reflect.DeepEqual(k.old, k.new) {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
 func orDefault[T int | float64 | time.Duration](v *T, d T) {
 	if *v == 0 {
 		*v = d
--- a/internal/net/journal/client.go
+++ b/internal/net/journal/client.go
@@ -34,6 +34,7 @@
 	current *stream
 	heard   time.Time
 	retry   time.Duration
+	again   *gateway.Timer // of the next try, while there is no connection
 
 	Connects, Events, Dropped uint64
 }
@@ -47,6 +48,22 @@
 	return c
 }
 
+// Move goes on at another address, after the latest event taken in. The connection to the old one is left at
+// once: what that still holds open tells nothing more.
+func (c *Client) Move(addr string) {
+	if addr == c.addr {
+		return
+	}
+	c.log.WithFields(logrus.Fields{"from": c.addr, "to": addr, "after": c.pos}).Info("journal: moving")
+	c.addr, c.retry = addr, retryFirst
+	c.again.Stop()
+	old := c.current
+	c.connect()
+	if old != nil && old.tc != nil {
+		old.tc.Close(errors.New("the journal has moved"))
+	}
+}
+
 // Connected says whether the journal is being read.
 func (c *Client) Connected() bool { return c.current != nil && c.current.tc != nil }
 
@@ -93,7 +110,7 @@
 	if s.tc != nil || c.retry == retryFirst { // once a loss, not once a try
 		c.log.WithError(err).Warn("journal: lost, reconnecting")
 	}
-	c.loop.After(c.retry, c.connect)
+	c.again = c.loop.After(c.retry, c.connect)
 	c.retry = min(2*c.retry, retryMost)
 }
 
--- a/internal/net/signedfront/front.go
+++ b/internal/net/signedfront/front.go
@@ -46,6 +46,9 @@
 	return f
 }
 
+// Use has what is admitted from now on go by another API, after a change of keys say.
+func (f *Front) Use(api *httpapi.API) { f.api = api }
+
 // Accept returns the callbacks of a new connection.
 func (f *Front) Accept() transport.Handler { return &conn{front: f} }
 
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -113,7 +113,7 @@
 	}
 	eventually(t, "the store is told", func() bool { return r.sum(func(s *store) int { return len(s.quits) }) > 0 })
 	r.on(done)
-	done(<-held)
+	done(next(t, held))
 	id = c.send("game-assets", "00000000000000aa", 2*time.Second, "")
 	if a := c.next(); a.id != id || a.body != content("00000000000000aa", "3") {
 		t.Fatalf("after the late answer: %+v", a)
@@ -145,13 +145,13 @@
 	r.on(func(a *ask) { held <- a })
 	c := r.client()
 	id := c.send("replay-video", object, 5*time.Second, "")
-	a := <-held
+	a := next(t, held)
 	c.raw(append([]byte("\x93\x02\xadcancelRequest\x91"), byte(id)))
 	eventually(t, "the store is told", func() bool { return r.sum(func(s *store) int { return len(s.quits) }) == 1 })
 	done(a) // nobody is owed this
 	other := r.client()
 	other.send("replay-video", "00000000000000bb", 5*time.Second, "")
-	(<-held).store.on(done)
+	next(t, held).store.on(done)
 	other.conn.Close() // leaving is cancelling
 	eventually(t, "the store is told", func() bool { return r.sum(func(s *store) int { return len(s.quits) }) == 2 })
 	if n := r.counter("gone"); n != 2 {
@@ -175,7 +175,7 @@
 	}
 	var got []*ask
 	for range 32 {
-		got = append(got, <-held)
+		got = append(got, next(t, held))
 	}
 	for i := range got { // answered in the opposite order
 		done(got[len(got)-1-i])
@@ -213,7 +213,7 @@
 	if a := c.next(); a.err != "" || a.body != content(object, "3") {
 		t.Fatalf("%+v", a)
 	}
-	if s := (<-held).store; r.sum(func(s *store) int { return s.noops }) == 0 {
+	if s := next(t, held).store; r.sum(func(s *store) int { return s.noops }) == 0 {
 		t.Errorf("%s was not tested", s.name)
 	}
 }
@@ -260,7 +260,7 @@
 	r.journal.events <- "id: 3\ndata: {\"pos\":3,\"expire\":{}}\n\n" // cannot be used, and is passed over
 	r.journal.events <- "id: 4\ndata: nonsense\n\n"
 	r.journal.events <- "" // the connection ends
-	if id := <-r.journal.connected; id != "4" {
+	if id := next(t, r.journal.connected); id != "4" {
 		t.Errorf("resumed after %q", id)
 	}
 	r.journal.tell(2, `"expire":{"set":40,"stamp":1}`) // told again
@@ -330,7 +330,7 @@
 	r.on(func(a *ask) { held <- a })
 	early := r.client()
 	early.send("replay-video", object, 5*time.Second, "")
-	a := <-held
+	a := next(t, held)
 	if err := r.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
@@ -345,7 +345,7 @@
 	if got := early.next(); got.err != "" {
 		t.Errorf("%+v", got)
 	}
-	if err := <-r.exited; err != nil {
+	if err := next(t, r.exited); err != nil {
 		t.Errorf("it ended with %v", err)
 	}
 	if line := r.logged("msg=counters"); !strings.Contains(line, "answered_served=2") {
@@ -370,13 +370,13 @@
 	r.on(func(a *ask) { held <- a })
 	c := r.client()
 	c.send("replay-video", object, 20*time.Second, "")
-	<-held
+	next(t, held)
 	began := time.Now()
 	_ = r.cmd.Process.Signal(syscall.SIGTERM)
 	if a := c.next(); a.err == "" {
 		t.Errorf("%+v", a)
 	}
-	if err := <-r.exited; err != nil || time.Since(began) > 10*time.Second {
+	if err := next(t, r.exited); err != nil || time.Since(began) > 10*time.Second {
 		t.Errorf("it ended with %v after %v", err, time.Since(began))
 	}
 }
--- /dev/null
+++ b/test/reload_test.go
@@ -0,0 +1,112 @@
+package test
+
+import (
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"larchusher/signedurl"
+)
+
+// SIGHUP ended the program, since nobody minded it. It must take the journal's new address at once and go on after
+// the latest event, while requests and connections stay as they are.
+func TestHangupMovesTheJournal(t *testing.T) {
+	r := newRig(t).start()
+	r.journal.tell(2, `"expire":{"set":40,"stamp":1}`)
+	eventually(t, "the event is read", func() bool { return r.counter("purges") == 1 })
+	held := make(chan *ask, 10)
+	r.on(func(a *ask) { held <- a })
+	c := r.client()
+	c.send("replay-video", object, 5*time.Second, "")
+	a := next(t, held)
+
+	second := newJournal(t)
+	r.config["journal"] = second.addr
+	r.write()
+	r.signal(syscall.SIGHUP)
+	if id := next(t, second.connected); id != "2" {
+		t.Errorf("resumed after %q", id)
+	}
+	second.tell(2, `"expire":{"set":40,"stamp":1}`) // told again
+	second.tell(3, `"hosts":{"index":2,"snapshot":false,"endpoints":[`+r.host("c1", "DRAINING")+`]}`)
+	eventually(t, "the new journal is read", func() bool { return r.counter("journal_events") == 2 })
+
+	r.on(done)
+	done(a)
+	if got := c.next(); got.err != "" || got.body != content(object, "3") {
+		t.Errorf("open across the reload: %+v", got)
+	}
+	c.send("game-assets", "00000000000000dd", 2*time.Second, "")
+	if got := c.next(); got.err != "" {
+		t.Errorf("on the same connection: %+v", got)
+	}
+	for _, a := range r.asks("00000000000000dd") {
+		if a.store.name == "c1" {
+			t.Error("a store that the new journal drains was asked")
+		}
+	}
+}
+
+// A faulty file is logged, and all stays as it was; the next good one is taken.
+func TestHangupWithAFaultyFileKeepsTheOld(t *testing.T) {
+	r := newRig(t).start()
+	good := r.config["journal"]
+	for _, fault := range []string{"nowhere", ""} {
+		r.config["journal"] = fault
+		r.write()
+		r.signal(syscall.SIGHUP)
+		if line := r.logged("the old configuration stays"); !strings.Contains(line, "journal") {
+			t.Error(line)
+		}
+		r.log.Reset()
+	}
+	if err := os.WriteFile(r.path, []byte(`{"listen":`), 0o600); err != nil { // half written
+		t.Fatal(err)
+	}
+	r.signal(syscall.SIGHUP)
+	r.logged("the old configuration stays")
+	r.journal.tell(2, `"expire":{"set":40,"stamp":1}`)
+	eventually(t, "the old journal is read", func() bool { return r.counter("journal_events") == 1 })
+
+	r.config["journal"], r.config["seed"] = good, "1" // the same address: its connection stays
+	r.write()
+	r.signal(syscall.SIGHUP)
+	if line := r.logged("with the next start"); !strings.Contains(line, "keys=seed") {
+		t.Error(line)
+	}
+	eventually(t, "it is taken", func() bool { return r.counter("reloads") == 1 })
+	if n := r.counter("journal_connects"); n != 1 {
+		t.Errorf("%d connections to the journal", n)
+	}
+	c := r.client()
+	c.send("game-assets", object, 2*time.Second, "")
+	if a := c.next(); a.err != "" {
+		t.Errorf("%+v", a)
+	}
+}
+
+// The signed front takes its keys anew: a dropped one is refused from then on, on open connections too.
+func TestHangupTakesNewKeys(t *testing.T) {
+	r, addr := signedRig(t, "")
+	w := newWeb(t, addr)
+	uri := strings.TrimPrefix(signer(t, signedKeys, "old")(signedurl.Order{Target: "/replay-video/" + object + "/3?shard=17",
+		Expiry: time.Now().Add(time.Minute)}), base)
+	if status, _, _ := w.get("GET", uri); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	file, err := os.ReadFile(r.args[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(r.args[1], []byte(strings.Replace(string(file), `"old"`, `"older"`, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.signal(syscall.SIGHUP)
+	r.logged("msg=reloaded")
+	if status, _, _ := w.get("GET", uri); status != http.StatusForbidden {
+		t.Errorf("status %d for a dropped key", status)
+	}
+}
--- a/test/rig_test.go
+++ b/test/rig_test.go
@@ -63,6 +63,7 @@
 	journal *journal
 	addr    string
 	config  map[string]any
+	path    string // of the configuration
 	args    []string
 	env     []string
 	cmd     *exec.Cmd
@@ -92,18 +93,27 @@
 		name, s.addr, zone, s.kind, status)
 }
 
-// write writes the configuration to a file.
-func (r *rig) write() (path string) {
+// write writes the configuration to its file.
+func (r *rig) write() {
 	r.t.Helper()
 	data, err := json.Marshal(r.config)
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	path = filepath.Join(r.t.TempDir(), "config.json")
-	if err := os.WriteFile(path, data, 0o600); err != nil {
+	if r.path == "" {
+		r.path = filepath.Join(r.t.TempDir(), "config.json")
+	}
+	if err := os.WriteFile(r.path, data, 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// signal sends the program a signal.
+func (r *rig) signal(s os.Signal) {
+	r.t.Helper()
+	if err := r.cmd.Process.Signal(s); err != nil {
 		r.t.Fatal(err)
 	}
-	return path
 }
 
 // start starts the program and waits until it serves.
@@ -117,9 +127,9 @@
 	}
 	r.config["known"] = json.RawMessage(`{"pos":1,"entries":[{"pos":1,"hosts":{"index":1,"snapshot":true,"endpoints":[` +
 		strings.Join(hosts, ",") + `]}}]}`)
-	path := r.write()
+	r.write()
 	r.cmd = exec.Command(program, r.args...)
-	r.cmd.Env = append(append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_NAME=n0"), r.env...)
+	r.cmd.Env = append(append(os.Environ(), "BALANCER_CONFIG="+r.path, "BALANCER_NAME=n0"), r.env...)
 	r.cmd.Stderr = r.log
 	if err := r.cmd.Start(); err != nil {
 		r.t.Fatal(err)
@@ -134,7 +144,7 @@
 		}
 	})
 	r.logged("msg=serving")
-	<-r.journal.connected
+	next(r.t, r.journal.connected)
 	return r
 }
 
@@ -157,9 +167,7 @@
 func (r *rig) counter(name string) int {
 	r.t.Helper()
 	r.log.Reset()
-	if err := r.cmd.Process.Signal(syscall.SIGUSR1); err != nil {
-		r.t.Fatal(err)
-	}
+	r.signal(syscall.SIGUSR1)
 	for f := range strings.SplitSeq(r.logged("msg=counters"), " ") {
 		if v, ok := strings.CutPrefix(f, name+"="); ok {
 			n, err := strconv.Atoi(v)
@@ -172,6 +180,17 @@
 	return 0
 }
 
+// next takes what must come on a channel.
+func next[T any](t *testing.T, c <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(patience):
+		t.Fatal("nothing came")
+	}
+	return v
+}
+
 // eventually waits for what must come.
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
@@ -572,9 +591,9 @@
 	if badKnown {
 		r.config["known"] = json.RawMessage(`{"pos":1,"entries":[{"hosts":{"endpoints":[` + r.host("c1", "HUH") + `]}}]}`)
 	}
-	path := r.write()
+	r.write()
 	cmd := exec.Command(program, r.args...)
-	cmd.Env = append(append(os.Environ(), "BALANCER_CONFIG="+path), r.env...)
+	cmd.Env = append(append(os.Environ(), "BALANCER_CONFIG="+r.path), r.env...)
 	out, err := cmd.CombinedOutput()
 	if err == nil {
 		r.t.Fatalf("it started: %s", out)
