Newcomers get the places of idle clients; silent and half-sent connections end

Checked: descriptors sampled every 2 s: 21, 36, 59, 84, 107, 124 after 12 s, and 124 to the end: the listener's cap of 106 and 18 others. 1884 clients asked once and stayed; nothing closed those before 30 s, and transport.Listen closed each newcomer as it came. The first request of such a connection has failed, a second one is lost. At fault: Listen's 'open.Add(1) > most', the front's idleMost of 30 s, and Sockets/3+Sockets/12 where more is free. Now: an idle connection, the longest idle first and doubly so if it asked once, makes room; silent and half-sent ones end within 2 s on both fronts; shares add up to less than the limit (config.Shares). The rig's clients no longer share a txn, which needed a store connection each.

--- a/cmd/larchusher/main.go
+++ b/cmd/larchusher/main.go
@@ -115,9 +115,9 @@
 	if p.engine, err = transport.New(p.log); err != nil {
 		return err
 	}
-	third := cfg.Limits.Sockets / 3
+	share := cfg.Shares(second != nil)
 	p.pool = resp.New(resp.Config{Streams: cfg.Sockets.StreamsPerConn, ConnectTimeout: cfg.Sockets.ConnectTimeout,
-		KeepAlive: cfg.Sockets.KeepAlive, Conns: third, LoadFields: cfg.Settings.LoadFields}, p.loop, p.engine, p.log)
+		KeepAlive: cfg.Sockets.KeepAlive, Conns: share.Stores, LoadFields: cfg.Settings.LoadFields}, p.loop, p.engine, p.log)
 	gc := gateway.Config{Loop: p.loop, Settings: cfg.Settings, Seed: cfg.Seed, Backend: p.pool, Log: p.log,
 		MaxOpen: cfg.Sockets.MostHeld, MaxBytes: cfg.Limits.MemoryMB << 20 / 6}
 	if cfg.PeerListen != "" && cfg.Settings.PeerMessages {
@@ -139,8 +139,8 @@
 	if p.link != nil {
 		go p.link.Read(p.loop, p.gw.Heard)
 	}
-	p.front = msgpackrpc.New(p.loop, p.gw, p.log)
-	l, err := p.engine.Listen(cfg.Listen, third+third/4, p.front.Accept)
+	p.front = msgpackrpc.New(p.loop, p.gw, share.Clients, p.log)
+	l, err := p.engine.Listen(cfg.Listen, share.Clients, p.front.MakeRoom, p.front.Accept)
 	if err != nil {
 		return err
 	}
@@ -164,8 +164,8 @@
 	if err != nil {
 		return err
 	}
-	most := cfg.Limits.Sockets / 8
-	p.signed = signedfront.New(p.loop, p.gw, api, cfg.Seed, p.log)
+	share := cfg.Shares(true)
+	p.signed = signedfront.New(p.loop, p.gw, api, share.Signed, cfg.Seed, p.log)
 	check := &agentcheck.Checker{Loop: p.loop, State: func() agentcheck.State {
 		return agentcheck.State{Ready: p.feed.Connected(), Draining: p.draining, Open: p.gw.Open(),
 			Most: cfg.Sockets.MostHeld}
@@ -174,9 +174,11 @@
 		addr   string
 		listen func(addr string) (*transport.Listener, error)
 	}{
-		{s.Listen, func(a string) (*transport.Listener, error) { return p.engine.Listen(a, most, p.signed.Accept) }},
-		{s.AgentListen, func(a string) (*transport.Listener, error) { return check.Agent(p.engine, a, 16) }},
-		{s.HTTPListen, func(a string) (*transport.Listener, error) { return check.Health(p.engine, a, 16) }},
+		{s.Listen, func(a string) (*transport.Listener, error) {
+			return p.engine.Listen(a, share.Signed, p.signed.MakeRoom, p.signed.Accept)
+		}},
+		{s.AgentListen, func(a string) (*transport.Listener, error) { return check.Agent(p.engine, a, share.Checks) }},
+		{s.HTTPListen, func(a string) (*transport.Listener, error) { return check.Health(p.engine, a, share.Checks) }},
 	} {
 		if l.addr == "" {
 			continue
@@ -291,7 +293,8 @@
 // print writes the counters.
 func (p *program) print() {
 	fields := logrus.Fields{"conns_opened": p.engine.Opened.Load(), "conns_closed": p.engine.Closed.Load(),
-		"bytes_in": p.engine.In.Load(), "bytes_out": p.engine.Out.Load(),
+		"conns_crowded": p.engine.Crowded.Load(),
+		"bytes_in":      p.engine.In.Load(), "bytes_out": p.engine.Out.Load(),
 		"malformed": p.front.Malformed, "excess": p.front.Excess,
 		"reloads": p.reloads, "journal_connects": p.feed.Connects, "journal_events": p.feed.Events, "journal_dropped": p.feed.Dropped}
 	for name, n := range p.gw.Counters.All() {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,6 +35,23 @@
 	Sockets  int     `json:"sockets"`
 }
 
+// Shares are the descriptors that each side may hold. They add up to less than the limit.
+type Shares struct{ Stores, Clients, Signed, Checks int }
+
+// Shares divides the descriptors up. A third is for stores; what the program needs for itself (poller, listeners,
+// journal, peers, standard streams, a connection that is closed as it comes) is set aside; clients get the rest.
+func (c *Gateway) Shares(signed bool) Shares {
+	n := c.Limits.Sockets
+	s := Shares{Stores: n / 3}
+	s.Clients = n - s.Stores - min(20, n/4)
+	if signed {
+		s.Checks = min(16, n/32)
+		s.Signed = n / 8
+		s.Clients -= s.Signed + 2*s.Checks
+	}
+	return s
+}
+
 // Gateway is the configuration of one gateway.
 type Gateway struct {
 	Name       string          `json:"name"`
--- a/internal/net/agentcheck/agentcheck.go
+++ b/internal/net/agentcheck/agentcheck.go
@@ -46,7 +46,7 @@
 // Agent returns the callbacks of an agent-check connection. A client may send a line first, or nothing: the
 // answer goes out at once and the connection ends, as the protocol has it.
 func (c *Checker) Agent(engine *transport.Engine, addr string, most int) (*transport.Listener, error) {
-	return engine.Listen(addr, most, func() transport.Handler { return agent{c} })
+	return engine.Listen(addr, most, nil, func() transport.Handler { return agent{c} })
 }
 
 // close ends a connection once its answer has left.
@@ -74,7 +74,7 @@
 
 // Health listens for GET /healthz: 200 while requests are welcome, else 503.
 func (c *Checker) Health(engine *transport.Engine, addr string, most int) (*transport.Listener, error) {
-	return engine.Listen(addr, most, func() transport.Handler { return &health{checker: c} })
+	return engine.Listen(addr, most, nil, func() transport.Handler { return &health{checker: c} })
 }
 
 // health is one connection, for one request.
--- a/internal/net/msgpackrpc/front.go
+++ b/internal/net/msgpackrpc/front.go
@@ -13,9 +13,8 @@
 )
 
 const (
-	openMost  = 32               // requests open on one connection; further ones are refused
-	idleMost  = 30 * time.Second // clients close sooner; this is for those that vanished
-	sweep     = 5 * time.Second
+	openMost  = 32 // requests open on one connection; further ones are refused
+	sweep     = 250 * time.Millisecond
 	keptMost  = 16 << 10  // of a connection's buffer, between messages
 	errorBack = "Backoff" // refused
 	errorLost = "Lost"    // failed
@@ -27,14 +26,15 @@
 	gateway *gateway.Gateway
 	log     logrus.FieldLogger
 	conns   map[*conn]bool
+	tenants *transport.Tenants
 
 	Malformed uint64 // connections closed for what they sent
 	Excess    uint64 // requests beyond those that a connection may have open
 }
 
-// New returns a front. Its Accept makes the handlers of a listener.
-func New(loop *gateway.Loop, g *gateway.Gateway, log logrus.FieldLogger) *Front {
-	f := &Front{loop: loop, gateway: g, log: log, conns: map[*conn]bool{}}
+// New returns a front for so many connections. Its Accept makes the handlers of a listener.
+func New(loop *gateway.Loop, g *gateway.Gateway, most int, log logrus.FieldLogger) *Front {
+	f := &Front{loop: loop, gateway: g, log: log, conns: map[*conn]bool{}, tenants: transport.NewTenants(most)}
 	loop.After(sweep, f.sweep)
 	return f
 }
@@ -54,13 +54,12 @@
 	return true
 }
 
-// sweep closes connections on which nothing has happened for long.
+// MakeRoom has an idle connection closed, for one that waits to be accepted. It may be called from anywhere.
+func (f *Front) MakeRoom() { f.loop.Post(func() { f.tenants.MakeRoom(f.loop.Now(), 1) }) }
+
+// sweep closes connections that hold their places for nothing.
 func (f *Front) sweep() {
-	for c := range f.conns {
-		if len(c.open) == 0 && f.loop.Now().Sub(c.active) > idleMost {
-			c.tc.Close(errors.New("idle"))
-		}
-	}
+	f.tenants.Sweep(f.loop.Now(), nil)
 	f.loop.After(sweep, f.sweep)
 }
 
@@ -71,7 +70,7 @@
 
 	tc     *transport.Conn // loop: the rest
 	open   map[uint64]*gateway.Request
-	active time.Time
+	tenant *transport.Tenant
 	gone   bool
 }
 
@@ -79,7 +78,8 @@
 func (c *conn) OnOpened(tc *transport.Conn) {
 	c.front.loop.Post(func() {
 		if !c.gone {
-			c.tc, c.active = tc, c.front.loop.Now()
+			c.tc = tc
+			c.tenant = c.front.tenants.Add(tc, c.front.loop.Now(), func() bool { return len(c.open) > 0 })
 			c.front.conns[c] = true
 		}
 	})
@@ -114,11 +114,12 @@
 		c.buf = nil
 	}
 	c.buf = append(c.buf[:0], b...)
+	half := len(b) > 0
 	c.front.loop.Post(func() {
 		if bad != nil {
 			c.front.Malformed++
 		}
-		c.take(tc, batch, at)
+		c.take(tc, batch, half, at)
 	})
 	return bad
 }
@@ -128,6 +129,7 @@
 	c.front.loop.Post(func() {
 		c.gone = true
 		delete(c.front.conns, c)
+		c.front.tenants.Drop(c.tenant)
 		for id, r := range c.open {
 			delete(c.open, id)
 			c.front.gateway.Abandon(r)
@@ -135,11 +137,11 @@
 	})
 }
 
-func (c *conn) take(tc *transport.Conn, batch []message, at time.Time) {
+func (c *conn) take(tc *transport.Conn, batch []message, half bool, at time.Time) {
 	if c.gone {
 		return
 	}
-	c.active = c.front.loop.Now()
+	c.tenant.Heard(c.front.loop.Now(), len(batch), half)
 	for _, m := range batch {
 		switch {
 		case m.kind == typeNotify && m.method == "cancelRequest":
--- a/internal/net/signedfront/front.go
+++ b/internal/net/signedfront/front.go
@@ -15,10 +15,8 @@
 )
 
 const (
-	wholeWithin = 10 * time.Second // a request that has begun to come has come whole by then
-	idleMost    = 30 * time.Second
-	sweep       = time.Second
-	aheadMost   = headMost + httpapi.BodyMost + 4 // bytes that may come ahead of an answer
+	sweep     = 250 * time.Millisecond
+	aheadMost = headMost + httpapi.BodyMost + 4 // bytes that may come ahead of an answer
 )
 
 // Front takes signed requests over HTTP/1.1. One request of a connection is in work at a time; others that
@@ -29,6 +27,7 @@
 	api     *httpapi.API
 	log     logrus.FieldLogger
 	conns   map[*conn]bool
+	tenants *transport.Tenants
 	serial  uint64
 	seed    uint64
 	ending  bool
@@ -38,10 +37,10 @@
 	Statuses map[int]uint64
 }
 
-// New returns a front. Its Accept makes the handlers of a listener.
-func New(loop *gateway.Loop, g *gateway.Gateway, api *httpapi.API, seed uint64, log logrus.FieldLogger) *Front {
+// New returns a front for so many connections. Its Accept makes the handlers of a listener.
+func New(loop *gateway.Loop, g *gateway.Gateway, api *httpapi.API, most int, seed uint64, log logrus.FieldLogger) *Front {
 	f := &Front{loop: loop, gateway: g, api: api, log: log, conns: map[*conn]bool{}, seed: seed,
-		Problems: map[string]uint64{}, Statuses: map[int]uint64{}}
+		tenants: transport.NewTenants(most), Problems: map[string]uint64{}, Statuses: map[int]uint64{}}
 	loop.After(sweep, f.sweep)
 	return f
 }
@@ -67,19 +66,19 @@
 	f.ending = true
 }
 
-// sweep closes connections that are idle, and those whose request does not come to its end.
+// MakeRoom has an idle connection closed, for one that waits to be accepted. It may be called from anywhere.
+func (f *Front) MakeRoom() { f.loop.Post(func() { f.tenants.MakeRoom(f.loop.Now(), 1) }) }
+
+// sweep closes connections that hold their places for nothing; one whose request does not come to its end is told.
 func (f *Front) sweep() {
-	now := f.loop.Now()
-	for c := range f.conns {
-		switch {
-		case c.busy != nil:
-		case len(c.buf) > 0 && now.Sub(c.began) > wholeWithin:
-			c.last = true
-			c.problem(&httpapi.Problem{Status: http.StatusRequestTimeout, Reason: "the request did not come whole"})
-		case len(c.buf) == 0 && now.Sub(c.active) > idleMost:
-			c.tc.Close(errors.New("idle"))
+	f.tenants.Sweep(f.loop.Now(), func(n *transport.Tenant) {
+		for c := range f.conns {
+			if c.tenant == n && !c.last {
+				c.last = true
+				c.problem(&httpapi.Problem{Status: http.StatusRequestTimeout, Reason: "the request did not come whole"})
+			}
 		}
-	}
+	})
 	f.loop.After(sweep, f.sweep)
 }
 
@@ -89,8 +88,7 @@
 	tc      *transport.Conn
 	buf     []byte
 	at      time.Time // when the latest bytes came
-	began   time.Time // when the request that is coming began to
-	active  time.Time
+	tenant  *transport.Tenant
 	busy    *httpapi.Admitted // the request in work
 	proceed bool              // 100 Continue was sent for the request that is coming
 	last    bool              // nothing is read after the present answer
@@ -101,7 +99,8 @@
 func (c *conn) OnOpened(tc *transport.Conn) {
 	c.front.loop.Post(func() {
 		if !c.gone {
-			c.tc, c.active = tc, c.front.loop.Now()
+			c.tc = tc
+			c.tenant = c.front.tenants.Add(tc, c.front.loop.Now(), func() bool { return c.busy != nil })
 			c.front.conns[c] = true
 		}
 	})
@@ -121,6 +120,7 @@
 	c.front.loop.Post(func() {
 		c.gone = true
 		delete(c.front.conns, c)
+		c.front.tenants.Drop(c.tenant)
 		if c.busy != nil {
 			ad := c.busy
 			c.busy = nil
@@ -133,11 +133,7 @@
 	if c.gone || c.last {
 		return
 	}
-	now := c.front.loop.Now()
-	if len(c.buf) == 0 {
-		c.began = now
-	}
-	c.at, c.active = at, now
+	c.at = at
 	if len(c.buf)+len(b) > aheadMost {
 		c.last = true
 		tc.Close(fmt.Errorf("more than %d bytes ahead of an answer", aheadMost))
@@ -157,9 +153,11 @@
 			return
 		}
 		if h == nil {
+			c.tenant.Heard(c.front.loop.Now(), 0, true)
 			return
 		}
 		if len(c.buf) < size+h.length {
+			c.tenant.Heard(c.front.loop.Now(), 0, true)
 			if h.expect && !c.proceed {
 				c.proceed = true
 				_ = c.tc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
@@ -168,7 +166,8 @@
 		}
 		body := append([]byte(nil), c.buf[size:size+h.length]...)
 		c.buf = append(c.buf[:0], c.buf[size+h.length:]...)
-		c.proceed, c.last, c.began = false, !h.keep || c.front.ending, c.front.loop.Now()
+		c.proceed, c.last = false, !h.keep || c.front.ending
+		c.tenant.Heard(c.front.loop.Now(), 1, false)
 		c.request(h, body)
 	}
 }
@@ -206,7 +205,7 @@
 // respond writes one answer.
 func (c *conn) respond(r httpapi.Response, headOnly bool) {
 	c.front.Statuses[r.Status]++
-	c.active = c.front.loop.Now()
+	c.tenant.Active = c.front.loop.Now()
 	b := append(make([]byte, 0, 512), "HTTP/1.1 "...)
 	b = append(strconv.AppendInt(b, int64(r.Status), 10), ' ')
 	b = append(append(b, http.StatusText(r.Status)...), "\r\n"...)
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -20,6 +20,8 @@
 	writeMost  = 10 << 20 // bytes that may wait to be written on one connection,
 	totalMost  = 48 << 20 // and on all of them
 	joinedMost = 8 << 10  // pieces up to this size are joined into one write
+
+	placeWithin = 100 * time.Millisecond // a connection beyond the most waits so long for a place
 )
 
 // Handler has the callbacks of one connection. All run on the engine's poller, one at a time, and must not
@@ -43,6 +45,7 @@
 	handing sync.Mutex   // held while a connection is made, and taken before its parts are read
 
 	Opened, Closed atomic.Uint64
+	Crowded        atomic.Uint64 // connections closed because there was no place
 	In, Out        atomic.Uint64 // bytes
 }
 
@@ -143,14 +146,16 @@
 }
 
 // Listen accepts connections on addr, and asks handler for the callbacks of each. At most `most` are held
-// open at once; a connection beyond that is closed as it comes.
-func (e *Engine) Listen(addr string, most int, handler func() Handler) (*Listener, error) {
+// open at once. One beyond that has `full` called, which may close others, and waits a moment for a place; it is
+// closed if none comes free.
+func (e *Engine) Listen(addr string, most int, full func(), handler func() Handler) (*Listener, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listening on %s: %w", addr, err)
 	}
-	var open atomic.Int64
+	places := make(chan struct{}, max(1, most))
 	go func() { // one for the listener: nbio's own ends with the engine only
+		wait := time.NewTimer(0)
 		for {
 			conn, err := l.Accept()
 			if err != nil {
@@ -160,19 +165,29 @@
 				}
 				return
 			}
-			if open.Add(1) > int64(most) {
-				open.Add(-1)
-				_ = conn.Close()
-				continue
+			select {
+			case places <- struct{}{}:
+			default:
+				if full != nil {
+					full()
+				}
+				wait.Reset(placeWithin)
+				select {
+				case places <- struct{}{}:
+				case <-wait.C:
+					e.Crowded.Add(1)
+					_ = conn.Close()
+					continue
+				}
 			}
 			nc, err := nbio.NBConn(conn)
 			if err != nil {
-				open.Add(-1)
+				<-places
 				e.log.WithError(err).Warn("taking a connection over")
 				continue
 			}
 			h := handler()
-			c := e.wrap(nc, &counted{Handler: h, open: &open})
+			c := e.wrap(nc, &counted{Handler: h, places: places})
 			if o, ok := h.(Opener); ok {
 				o.OnOpened(c)
 			}
@@ -188,11 +203,11 @@
 // counted gives a listener's place back when its connection ends.
 type counted struct {
 	Handler
-	open *atomic.Int64
+	places chan struct{}
 }
 
 func (h *counted) OnClosed(c *Conn, err error) {
-	h.open.Add(-1)
+	<-h.places
 	h.Handler.OnClosed(c, err)
 }
 
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -471,25 +472,80 @@
 	})
 }
 
-// Clients hold at most their share of the descriptors.
+// Clients hold at most their share of the descriptors, and who asked once and stays makes room for who comes. Such
+// connections filled the share for good, and each newcomer was closed unheard.
+func TestNewcomersGetThePlacesOfIdleConnections(t *testing.T) {
+	r := newRig(t)
+	r.config["limits"] = map[string]any{"cores": 1, "memory_mb": 192, "sockets": 64}
+	r.start()
+	held := make(chan *ask, 10)
+	r.on(func(a *ask) { held <- a })
+	busy := r.client()
+	busy.send("game-assets", object, 20*time.Second, "")
+	a := next(t, held)
+	r.on(done)
+	for i := range 100 { // 27 is their share
+		c := r.client()
+		c.send("game-assets", fmt.Sprintf("%016x", i), 2*time.Second, "")
+		if a := c.next(); a.err != "" {
+			t.Fatalf("%d: %+v", i, a)
+		}
+	}
+	done(a)
+	if got := busy.next(); got.err != "" {
+		t.Errorf("in work meanwhile: %+v", got)
+	}
+	if open := r.counter("conns_opened") - r.counter("conns_closed"); open > 27+10 {
+		t.Errorf("%d connections", open)
+	}
+}
+
+// With every place in work, one more connection is closed, and the next free place is given on.
 func TestConnectionsBeyondTheShareAreClosed(t *testing.T) {
 	r := newRig(t)
-	r.config["limits"] = map[string]any{"cores": 1, "memory_mb": 192, "sockets": 48}
+	r.config["limits"] = map[string]any{"cores": 1, "memory_mb": 192, "sockets": 64}
 	r.start()
-	var held []*client
-	for range 20 { // a third of the descriptors, and a quarter of that
-		held = append(held, r.client())
+	held := make(chan *ask, 100)
+	r.on(func(a *ask) { held <- a })
+	var clients []*client
+	for i := range 27 {
+		clients = append(clients, r.client())
+		clients[i].send("game-assets", fmt.Sprintf("%016x", i), 20*time.Second, "")
 	}
-	for _, c := range held {
-		c.send("game-assets", object, 2*time.Second, "")
-		c.next()
+	for range clients {
+		next(t, held)
 	}
 	r.client().ended()
-	held[0].conn.Close()
-	eventually(t, "its place is given on", func() bool { return r.counter("conns_closed") > 0 })
+	clients[0].conn.Close()
+	eventually(t, "its place is given on", func() bool { return r.counter("gone") > 0 })
+	r.on(done)
 	c := r.client()
 	c.send("game-assets", object, 2*time.Second, "")
 	if a := c.next(); a.err != "" {
 		t.Errorf("%+v", a)
 	}
 }
+
+// Nobody keeps a place by saying nothing, or by stopping in the middle.
+func TestSilentAndHalfSentConnectionsAreClosed(t *testing.T) {
+	r, addr := signedRig(t, "")
+	silent, half, later := r.client(), r.client(), r.client()
+	half.raw([]byte("\x94\x00\x01\xa5ali"))
+	later.send("game-assets", object, 2*time.Second, "")
+	later.next()
+	later.raw([]byte("\x94\x00\xc4\xff"))
+	web, unsaid := newWeb(t, addr), newWeb(t, addr)
+	if _, err := web.conn.Write([]byte("GET /replay-video HTT")); err != nil {
+		t.Fatal(err)
+	}
+	if answer, _ := web.read(); answer.StatusCode != 408 {
+		t.Errorf("status %d", answer.StatusCode)
+	}
+	_ = unsaid.conn.SetReadDeadline(time.Now().Add(patience))
+	if _, err := unsaid.r.ReadByte(); err != io.EOF {
+		t.Errorf("of a silent one: %v", err)
+	}
+	silent.ended()
+	half.ended()
+	later.ended()
+}
--- a/test/rig_test.go
+++ b/test/rig_test.go
@@ -64,6 +64,7 @@
 	addr    string
 	config  map[string]any
 	path    string // of the configuration
+	clients int
 	args    []string
 	env     []string
 	cmd     *exec.Cmd
@@ -455,7 +456,8 @@
 		r.t.Fatal(err)
 	}
 	r.t.Cleanup(func() { conn.Close() })
-	return &client{t: r.t, conn: conn, r: bufio.NewReader(conn)}
+	r.clients++ // no two clients use one txn
+	return &client{t: r.t, conn: conn, r: bufio.NewReader(conn), txn: (r.clients - 1) << 16}
 }
 
 func packText(s string) []byte { return append([]byte{0xd9, byte(len(s))}, s...) }
