Lost answers cut no limit; a spoilt answer takes few down and counts once

One gateway refused 1481 of 10775 requests and had 276 misses (asked 'local' because its fetches were at their limit), the other refused none. At fault: Director.limit in control/control.go, which books an attempt ended by its deadline or by its client leaving as a late answer. Now such an end says nothing of load if something sent later by the same way was answered. A reset is no late answer, either. At fault: pool.pick, up to 32 attempts on one connection, and conn.end. Now four share one while half the store descriptors are free, and a broken connection counts once (Outcome.Along). An answer that stops short is left after 600 ms: the NOOP's answer had counted as life. A second copy of a failed answer is not taken for the next try's.

--- a/control/api.go
+++ b/control/api.go
@@ -242,6 +242,7 @@
 	Latency  time.Duration
 	FillWait time.Duration
 	Load     []float64 // nil: no report came with it
+	Along    bool      // Reset by what befell another attempt on its connection
 }
 
 // Probed is the result of a Probe.
--- a/control/control.go
+++ b/control/control.go
@@ -558,12 +558,14 @@
 	case OK:
 		d.spare = min(retryMost, d.spare+retryEarned)
 		a.to.good(d.now)
+		a.to.passed = max(a.to.passed, a.sent)
 		a.to.carry(d.now, d.cost(r))
 		if !hit && a.source != a.to {
 			if o.Note != NoteJoined {
 				a.source.carry(d.now, d.cost(r))
 			}
 			a.source.good(d.now)
+			a.source.passed = max(a.source.passed, a.sent)
 			a.source.quick += time.Duration(smooth * float64(max(0, o.Latency-r.work)-a.source.quick))
 			a.source.quickAt = d.now
 		}
@@ -572,7 +574,7 @@
 		if a.source != a.to && (o.Note >= NoteSourceRefused || o.Status == TurnedAway) {
 			bad = a.source
 		}
-		if r.tried = append(r.tried, bad); o.Note != NoteNoPlace && !(bad.role == parent && a.shared) {
+		if r.tried = append(r.tried, bad); o.Note != NoteNoPlace && !o.Along && !(bad.role == parent && a.shared) {
 			d.failed(bad, false)
 		}
 	case Miss:
@@ -634,7 +636,10 @@
 // slow parts, full links and overload alike; may hurt where answers are late for reasons that no limit
 // mends.
 func (d *Director) limit(r *request, a *attempt, o Outcome, hit bool) {
-	late := a.sent+o.Latency > r.aim() && o.Status != NotConnected || o.Status == TurnedAway
+	late := a.sent+o.Latency > r.aim() && o.Status != NotConnected && o.Status != Reset || o.Status == TurnedAway
+	if (o.Status == TimedOut || o.Status == Cancelled) && a.overtaken() {
+		return // an answer that got lost on its way says nothing of load
+	}
 	a.shared = !hit && (late || o.Status == ServerError) && (a.filling || o.Note != NoNote) && d.behind(a, o)
 	for _, g := range d.slow(a, o, hit, late) {
 		since := min(recently, d.now-g.seen)
@@ -655,6 +660,11 @@
 	}
 }
 
+// overtaken says that what was sent later, by the same way, has been answered.
+func (a *attempt) overtaken() bool {
+	return a.to.passed > a.sent && (!a.filling || a.source.passed > a.sent)
+}
+
 // slow names what an outcome's time speaks of: the cache if it answered by itself, else a part of the fill.
 func (d *Director) slow(a *attempt, o Outcome, hit, late bool) []*gauge {
 	fill := a.source != a.to && !hit && (a.filling || o.Note != NoNote)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -710,3 +710,53 @@
 		t.Error("the restarted cache still lists the object")
 	}
 }
+
+// An answer that got lost on its way is no sign of load: what was sent later, by the same way, was answered in time.
+// Such answers cut the limits, and one of two directors refused a seventh of its requests while all was well.
+func TestLostAnswersCutNoLimit(t *testing.T) {
+	r := newRig(t, nil)
+	at := r.serve("page", "x", NoteFilled).Server
+	for i := range 20 {
+		id, a := r.ask("page", "x")
+		if a == nil {
+			t.Fatalf("request %d was refused", i)
+		}
+		if a.Server != at { // a detour
+			r.do(Outcome{ID: id, Server: a.Server, Status: OK, Final: true, Latency: ms})
+			continue
+		}
+		r.after(ms).serve("page", "x", NoteHit)
+		r.after(3 * time.Second)
+		r.do(Outcome{ID: id, Server: a.Server, Status: TimedOut, Final: true, Latency: 3050 * ms})
+	}
+	for _, s := range r.d.servers {
+		if s.held.cut > 0 {
+			t.Errorf("%s: %+v", s.id, s.held)
+		}
+	}
+	if r.d.fetches.cut > 0 {
+		t.Errorf("fetches: %+v", r.d.fetches)
+	}
+}
+
+// One spoilt answer breaks a connection for all that shares it, and is one failure of the store, not many.
+func TestASharedResetIsOneFailure(t *testing.T) {
+	for _, along := range []bool{true, false} {
+		r := newRig(t, nil)
+		at := r.serve("page", "x", NoteFilled).Server
+		var ids []string
+		for range 5 {
+			id, a := r.ask("page", "x")
+			if a == nil || a.Server != at {
+				t.Fatalf("%+v", a)
+			}
+			ids = append(ids, id)
+		}
+		for i, id := range ids {
+			r.do(Outcome{ID: id, Server: at, Status: Reset, Along: along && i > 0, Latency: ms})
+		}
+		if out := r.d.servers[at].ejected > 0; out == along {
+			t.Errorf("along %v: ejected %v", along, out)
+		}
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -67,6 +67,7 @@
 
 	lastOK         time.Duration // latest answer of any use
 	overdue        int           // answers that were due since then
+	passed         time.Duration // latest sending that it answered well, by itself or as a source
 	failing        float64       // share of recent attempts that failed
 	ejected        time.Duration // out of use until then
 	penalty        time.Duration // length of the latest ejection
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -211,7 +211,8 @@
 		g.answer(r, ans)
 	}
 	g.handle(event{Event: control.Outcome{ID: r.id, Attempt: a.number, Server: a.Server, Status: res.Status,
-		Note: res.Note, Final: r.answered, Latency: g.cfg.Loop.Now().Sub(a.sent), Load: res.Load}})
+		Note: res.Note, Final: r.answered, Latency: g.cfg.Loop.Now().Sub(a.sent), Load: res.Load,
+		Along: res.Along}})
 }
 
 // cancel stops waiting for an attempt and says how it ended.
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -90,6 +90,7 @@
 	Body      []byte
 	Tag       string
 	Unchanged bool // with control.OK: the client's copy is the one
+	Along     bool // with control.Reset: another attempt's answer broke the connection that they shared
 }
 
 // Backend carries attempts to stores. It calls [Gateway.Clear] right before the first byte of an attempt
--- a/internal/net/resp/parser.go
+++ b/internal/net/resp/parser.go
@@ -23,6 +23,9 @@
 	got  int      // bytes of it
 }
 
+// within says that an answer has begun and not come whole.
+func (p *parser) within() bool { return p.left > 0 || len(p.line) > 0 }
+
 // feed takes the next bytes and calls emit with each whole array. Its strings are emit's to keep.
 func (p *parser) feed(b []byte, emit func(args [][]byte) error) error {
 	for len(b) > 0 {
--- a/internal/net/resp/pool.go
+++ b/internal/net/resp/pool.go
@@ -20,6 +20,8 @@
 	sweep     = 100 * time.Millisecond
 	silence   = 700 * time.Millisecond // with work out and no byte for so long, a connection is tested;
 	testFor   = time.Second            // without an answer to that, it is given up
+	stall     = 600 * time.Millisecond // an answer that has begun and stops for so long has broken off
+	few       = 4                      // attempts that share a connection while there are descriptors for others
 	quitKept  = 10 * time.Second       // an id given up on a connection is not used there again for so long
 	idleShare = 0.8                    // of the keep-alive time after which an idle connection is closed
 )
@@ -115,6 +117,7 @@
 	open    map[string]*gateway.Attempt
 	quit    map[string]time.Time // ids that were given up here: a late answer must not be taken for another's
 	heard   time.Time            // latest byte, or since when work is out
+	within  bool                 // an answer has begun to come
 	used    time.Time
 	test    string // tag of the test that is out
 	tested  time.Time
@@ -130,7 +133,14 @@
 		p.Gateway.Ended(a, gateway.Result{Status: control.NotConnected})
 		return
 	}
-	c := s.pick(a.Request.Ref, p.cfg.Streams)
+	// Guards against one spoilt answer that takes many others down: what shares its connection is lost with it.
+	c := s.pick(a.Request.Ref, min(few, p.cfg.Streams))
+	if c == nil && p.conns < p.cfg.Conns/2 {
+		c = p.dial(s)
+	}
+	if c == nil {
+		c = s.pick(a.Request.Ref, p.cfg.Streams)
+	}
 	if c == nil && p.conns < p.cfg.Conns {
 		c = p.dial(s)
 	}
@@ -294,8 +304,9 @@
 		batch = append(batch, args)
 		return nil
 	})
+	within := c.parser.within()
 	c.pool.loop.Post(func() {
-		c.heard = at
+		c.heard, c.within = at, within
 		for _, args := range batch {
 			if bad := c.answer(args); bad != nil {
 				c.pool.log.WithError(bad).WithField("store", c.store.id).Warn("an answer that cannot be read")
@@ -346,8 +357,9 @@
 	}
 	slices.SortFunc(out, func(a, b *gateway.Attempt) int { return strings.Compare(a.Request.Ref, b.Request.Ref) })
 	c.open = nil
-	for _, a := range out {
-		p.Gateway.Ended(a, gateway.Result{Status: control.Reset})
+	// Guards against a store that looks ill for one bad answer: that it broke counts once, not for each attempt.
+	for i, a := range out {
+		p.Gateway.Ended(a, gateway.Result{Status: control.Reset, Along: i > 0})
 	}
 	waiting := c.waiting
 	c.waiting = nil
@@ -381,7 +393,6 @@
 	a := c.open[id]
 	if a == nil { // it was given up, and its answer crossed that
 		c.pool.Counters.Late++
-		delete(c.quit, id)
 		return nil
 	}
 	res := gateway.Result{Status: status, Body: args[3], Unchanged: word == "KEEP"}
@@ -393,6 +404,9 @@
 	}
 	delete(c.open, id)
 	c.used = c.pool.loop.Now()
+	if status != control.OK { // a second copy of this answer must not be taken for that of another try
+		c.quit[id] = c.used
+	}
 	c.pool.Gateway.Ended(a, res)
 	return nil
 }
@@ -450,6 +464,8 @@
 				}
 			}
 			switch {
+			case c.within && now.Sub(c.heard) > stall:
+				c.end(errors.New("an answer stops short"))
 			case c.test != "" && c.heard.After(c.tested): // any byte will do
 				c.test = ""
 			case c.test != "" && now.Sub(c.tested) > testFor:
