Open branches whose caches all died; blame failed fills on the dead source

At fault: Director.affordable computed 'carried', on which a cold server's budget rests, only when it looked at a cold server: with no warm one left it was 0, and the floor holds the branch shut. Now noted with each good answer, from warm servers that are not ejected (gauge). Answers here don't tell why a fill failed, and learn() blamed the cache; the retry took another cache and the same source. Now the one of the two whose latest good answer is older is blamed. Both tests fail without the change.

--- a/control/control.go
+++ b/control/control.go
@@ -1,5 +1,4 @@
-// The types, events and actions of this package stand in control/api.go. This file makes the decisions, by
-// Adaptive Distributed Caching (Kaiser, Tsui, Liu) with the departures that docs/design.md lists.
+// This file decides, by Adaptive Distributed Caching (Kaiser, Tsui, Liu); the types stand in api.go.
 
 package control
 
@@ -560,6 +559,7 @@
 		a.to.good(d.now)
 		a.to.passed = max(a.to.passed, a.sent)
 		a.to.carry(d.now, d.cost(r))
+		d.gauge(a.to.role)
 		if !hit && a.source != a.to {
 			if o.Note != NoteJoined {
 				a.source.carry(d.now, d.cost(r))
@@ -571,10 +571,12 @@
 		}
 	case ServerError, Reset, NotConnected, TurnedAway:
 		bad := a.to
-		if a.source != a.to && (o.Note >= NoteSourceRefused || o.Status == TurnedAway) {
+		if a.source != a.to && (o.Note >= NoteSourceRefused || o.Status == TurnedAway ||
+			o.Status == ServerError && o.Note == NoNote && a.source.lastOK < a.to.lastOK) { // untold
 			bad = a.source
 		}
-		if r.tried = append(r.tried, bad); o.Note != NoteNoPlace && !o.Along && !(bad.role == parent && a.shared) {
+		r.tried = append(r.tried, bad)
+		if o.Note != NoteNoPlace && !o.Along && !(bad.role == parent && a.shared) {
 			d.failed(bad, false)
 		}
 	case Miss:
@@ -633,10 +635,10 @@
 // limit learns how much may be out at a cache, at a source of fills, and at the origin behind the sources.
 // Answers later than the aim, and refusals, say that what is out there shares too little. The limit is then
 // cut to the share that was in time; only what was sent after a cut counts for the next one. Holds against
-// slow parts, full links and overload alike; may hurt where answers are late for reasons that no limit
-// mends.
+// slow parts, full links and overload alike; may hurt where answers are late for reasons that no limit mends.
 func (d *Director) limit(r *request, a *attempt, o Outcome, hit bool) {
-	late := a.sent+o.Latency > r.aim() && o.Status != NotConnected && o.Status != Reset || o.Status == TurnedAway
+	down := o.Status == NotConnected || o.Status == Reset
+	late := a.sent+o.Latency > r.aim() && !down || o.Status == TurnedAway
 	if (o.Status == TimedOut || o.Status == Cancelled) && a.overtaken() {
 		return // an answer that got lost on its way says nothing of load
 	}
@@ -789,27 +791,18 @@
 }
 
 // affordable says whether a cold server's budget holds one more attempt. All directors together must stay
-// within a multiple of what it can do; each by itself spends that multiple of the work that a warm server
-// of that size does for it, or of what this one is seen to do if that is more: neither sums to more than
-// servers can do. One that knows of no warm server has its part of a floor. The budget may be overdrawn by
-// one attempt, so that no floor of a whole one adds up over directors.
+// within a multiple of what it can do; each by itself spends that multiple of the work that a warm server of
+// that size does for it, or of what this one is seen to do if that is more: neither sums to more than servers
+// can do. One that knows of no warm server has its part of a floor. The budget may be overdrawn by one
+// attempt, so that no floor of a whole one adds up over directors.
 func (d *Director) affordable(s *server, r *request) bool {
 	share, multiple := d.coldShare(s)
 	if share >= 1 {
 		return true
 	}
-	rate, weight := 0.0, 0.0
-	for _, p := range d.inUse[s.role] {
-		if warm, _ := d.coldShare(p); warm >= 1 {
-			rate += p.recent(d.now)
-			weight += p.weight
-		}
-	}
-	if weight > 0 {
-		d.carried[s.role] = rate / weight
-	} // else what the last warm ones carried
+	d.gauge(s.role)
 	cost, among := d.cost(r), d.sharing(s.role)
-	rate = multiple * coldMargin * max(d.carried[s.role]*s.weight*share, s.recent(d.now))
+	rate := multiple * coldMargin * max(d.carried[s.role]*s.weight*share, s.recent(d.now))
 	rate = max(rate, cost/max(1, d.set.FallFor.Seconds())/among)
 	if s.budgetAt < s.boot { // many directors see a start at once: each comes in by chance
 		s.budget, s.budgetAt = -cost*d.rng.Float64(), d.now
@@ -819,6 +812,20 @@
 	return s.budget >= 0
 }
 
+// gauge notes what warm servers of a role carry. Where none is left or all fail, the last ones' part holds.
+func (d *Director) gauge(of role) {
+	rate, weight := 0.0, 0.0
+	for _, p := range d.inUse[of] {
+		if warm, _ := d.coldShare(p); warm >= 1 && p.penalty == 0 {
+			rate += p.recent(d.now)
+			weight += p.weight
+		}
+	}
+	if weight > 0 {
+		d.carried[of] = rate / weight
+	}
+}
+
 // sharing is the number of directors that send to servers of a role.
 func (d *Director) sharing(r role) float64 {
 	if r == cache && d.zone < len(d.set.ZonePeers) {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -760,3 +760,70 @@
 		}
 	}
 }
+
+// Where all caches of a location died, their successors start cold, and what they may be sent rests on what the old
+// ones carried while they did. That was first looked at when a cold one came, with none left to tell: the location
+// stayed shut.
+func TestSuccessorsOfAllCachesAreLetServe(t *testing.T) {
+	r := newRig(t, func(s *Settings) { s.PassBy = false })
+	for i := range 400 {
+		r.serve("page", fmt.Sprint(i%40), NoteHit)
+	}
+	gone, fresh := members()[:4], []Member{}
+	for range 20 { // they die
+		id, a := r.after(10*ms).ask("page", "x")
+		if a != nil {
+			r.do(Outcome{ID: id, Server: a.Server, Status: NotConnected, Final: true, Latency: ms})
+		}
+	}
+	r.after(8 * time.Second)
+	for i := range gone {
+		gone[i].Phase = Removed
+		fresh = append(fresh, Member{ID: fmt.Sprint("n", i), Zone: "here", Kind: "box", Boot: r.now})
+	}
+	r.do(Members{Kind: Changes, Entries: append(gone, fresh...)})
+	sent := 0
+	for i := range 40 { // two seconds at the old pace
+		id, a := r.after(50*ms).ask("page", fmt.Sprint(i))
+		if a != nil {
+			sent++
+			r.do(Outcome{ID: id, Server: a.Server, Status: OK, Note: NoteFilled, Final: true, Latency: 40 * ms})
+		}
+	}
+	if sent < 15 {
+		t.Errorf("%d of 40 requests were sent on", sent)
+	}
+}
+
+// Where answers don't tell why a fill failed, a cache that still serves hits is well and its source is not. The
+// cache was blamed: the dead parent stayed in use, and the next cache was asked with the same source.
+func TestAFailedFillIsTheSourcesWhereTheCacheIsWell(t *testing.T) {
+	r := newRig(t, func(s *Settings) { s.Tells = TellsHit })
+	dead := ""
+	for i := range 60 {
+		for j := range 20 { // all caches are well
+			r.serve("page", fmt.Sprint(j), NoteHit)
+		}
+		id, a := r.after(ms).ask("page", fmt.Sprint("new", i))
+		if a == nil {
+			t.Fatalf("request %d was refused", i)
+		}
+		if dead == "" {
+			dead = a.Source
+		}
+		if a.Source != dead {
+			r.do(Outcome{ID: id, Server: a.Server, Status: OK, Final: true, Latency: ms})
+			continue
+		}
+		again := first[Ask](r.do(Outcome{ID: id, Server: a.Server, Status: ServerError, Latency: ms}))
+		if again == nil || again.Source == dead {
+			t.Fatalf("request %d: asked again with %+v", i, again)
+		}
+		r.do(Outcome{ID: id, Attempt: 1, Server: again.Server, Status: OK, Final: true, Latency: ms})
+	}
+	for _, s := range r.d.servers {
+		if out := s.ejected > 0; out != (s.id == dead) {
+			t.Errorf("%s: ejected %v", s.id, out)
+		}
+	}
+}
