--- a/cmd/larchusher/main.go
+++ b/cmd/larchusher/main.go
@@ -29,8 +29,9 @@
 )
 
 const (
-	graceAfterTerm = 700 * time.Millisecond  // clients go on coming for up to 0.6 s
-	lastAnswers    = 3500 * time.Millisecond // no kill comes sooner than 3.7 s after SIGTERM
+	graceAfterTerm = 700 * time.Millisecond // clients go on coming for up to 0.6 s
+	leastDeadline  = 3 * time.Second        // a kill comes no sooner than the longest deadline, or this, and
+	lastAnswers    = 500 * time.Millisecond // 0.7 s after SIGTERM
 	flushFor       = 150 * time.Millisecond
 )
 
@@ -112,7 +113,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 
 	p := &program{log: log.WithField("gateway", cfg.Name), loop: gateway.NewLoop(), cfg: cfg, signedFile: *signed}
-	if p.engine, err = transport.New(p.log); err != nil {
+	if p.engine, err = transport.New(p.log, cfg.Limits.MemoryMB<<20/4); err != nil {
 		return err
 	}
 	share := cfg.Shares(second != nil)
@@ -272,7 +273,11 @@
 		if p.signed != nil {
 			p.signed.End()
 		}
-		p.finish(began.Add(lastAnswers))
+		longest := leastDeadline
+		for _, c := range p.cfg.Settings.Classes {
+			longest = max(longest, c.Deadline)
+		}
+		p.finish(began.Add(longest + lastAnswers))
 	})
 }
 
--- a/control/api.go
+++ b/control/api.go
@@ -213,6 +213,9 @@
 	Miss
 )
 
+// broken says that a connection did not come up, or ended under the attempt.
+func (s Status) broken() bool { return s == NotConnected || s == Reset }
+
 // Note says how an answer was served or why a fill failed, as far as Settings.Tells goes.
 type Note int
 
--- a/control/control.go
+++ b/control/control.go
@@ -140,8 +140,9 @@
 			s.role = origin
 		}
 		s.zone, s.cell, s.up = slices.Index(d.set.Zones, e.Zone), e.Cell, e.Phase == Up
-		if s.weight = e.Weight; !(s.weight > 0) {
-			s.weight = 1
+		s.weight = cmp.Or(max(0, e.Weight), 1)
+		if e.Phase == Removed {
+			delete(d.servers, e.ID) // attempts that are out hold on to it
 		}
 	}
 	d.inUse = [3][]*server{}
@@ -238,9 +239,9 @@
 	return 2
 }
 
-// hitRank is the rank that a hit gives: by the requests lately. Each of many directors sees its part of
-// them, so what counts beyond the first is their part of what one alone would see. Objects above the
-// class's mean size don't get the top rank, so that it holds a small share of the bytes.
+// hitRank is the rank that a hit gives: by the requests lately. Each of many directors sees its part of them,
+// so what counts beyond the first is their part of what one alone would see. Objects above the class's mean
+// size don't get the top rank, so that it holds a small share of the bytes.
 func (d *Director) hitRank(r *request) int {
 	more := (r.entry.count - 1) * d.sharing(cache)
 	switch {
@@ -406,9 +407,9 @@
 }
 
 // fillable says whether a fill may be asked for now. Where fetches from the origin are at their limit a
-// parent is asked for what it holds: that spares the origin, and costs little where it lacks the object.
-// This goes for attempts that should hit, too: a copy may have been purged, dropped or grown too old. May
-// hurt where the origin is well and the parents' links are full.
+// parent is asked for what it holds: that spares the origin, and costs little where it lacks the object. This
+// goes for attempts that should hit, too: a copy may have been purged, dropped or grown too old. May hurt
+// where the origin is well and the parents' links are full.
 func (d *Director) fillable(r *request, a *attempt) bool {
 	fetch := d.room(&d.fetches, r)
 	switch a.onlyHeld = a.source.role == parent && !fetch; {
@@ -637,8 +638,7 @@
 // cut to the share that was in time; only what was sent after a cut counts for the next one. Holds against
 // slow parts, full links and overload alike; may hurt where answers are late for reasons that no limit mends.
 func (d *Director) limit(r *request, a *attempt, o Outcome, hit bool) {
-	down := o.Status == NotConnected || o.Status == Reset
-	late := a.sent+o.Latency > r.aim() && !down || o.Status == TurnedAway
+	late := a.sent+o.Latency > r.aim() && !o.Status.broken() || o.Status == TurnedAway
 	if (o.Status == TimedOut || o.Status == Cancelled) && a.overtaken() {
 		return // an answer that got lost on its way says nothing of load
 	}
@@ -693,9 +693,9 @@
 	return other || o.Note == NoteOriginFailed
 }
 
-// room says whether one more attempt may be out. A client's repeat has lost part of its time: it stops
-// first. A limit need not be whole: its fraction is a chance, for one of many directors has less than one
-// attempt out.
+// room says whether one more attempt may be out. A client's repeat has lost part of its time: it stops first.
+// A limit need not be whole: its fraction is a chance, for one of many directors has less than one attempt
+// out.
 func (d *Director) room(g *gauge, r *request) bool {
 	most := g.most
 	if r.Retry {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -827,3 +827,25 @@
 		}
 	}
 }
+
+// Ids come and go all day: what is gone is forgotten, and its outcomes still due do no harm.
+func TestStoresThatAreGoneAreForgotten(t *testing.T) {
+	r := newRig(t, nil)
+	r.serve("page", "x", NoteFilled)
+	id, a := r.ask("page", "x")
+	for i := range 500 {
+		m := Member{ID: fmt.Sprint("s", i), Zone: "here", Kind: "box"}
+		r.do(Members{Kind: Changes, Entries: []Member{m}})
+		m.Phase = Removed
+		r.do(Members{Kind: Changes, Entries: []Member{m}})
+	}
+	gone := members()
+	for i := range gone {
+		gone[i].Phase = Removed
+	}
+	r.do(Members{Kind: Changes, Entries: gone})
+	r.do(Outcome{ID: id, Server: a.Server, Status: Reset, Latency: ms})
+	if n := len(r.d.servers); n != 0 {
+		t.Errorf("%d servers are kept", n)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"time"
 
@@ -107,6 +108,11 @@
 		g.answer(r, Answer{Outcome: Refused, RetryAfter: g.cfg.Settings.MaxRetryAfter, Harmless: true})
 		return
 	}
+	// Guards the effect rule: without its key a repeat cannot be told from another request.
+	if r.Key == "" && g.keyed(r.Class) {
+		g.answer(r, Answer{Outcome: Failed})
+		return
+	}
 	// Guards the one answer by the deadline, whatever the director does: it is due Settings.Step earlier.
 	r.expiry = g.cfg.Loop.At(r.Deadline, func() { g.expire(r) })
 	g.handle(event{request: r, Event: control.Request{ID: r.id, Class: r.Class, Tenant: r.Tenant,
@@ -146,6 +152,13 @@
 	return true
 }
 
+// keyed says whether a class's requests carry a key.
+func (g *Gateway) keyed(class string) bool {
+	return slices.ContainsFunc(g.cfg.Settings.Classes, func(c control.Class) bool {
+		return c.Name == class && c.Effect == control.Keyed
+	})
+}
+
 // giveUp ends the attempts of a request that nobody waits for.
 func (g *Gateway) giveUp(r *Request) {
 	for _, a := range r.attempts {
--- a/internal/net/journal/events.go
+++ b/internal/net/journal/events.go
@@ -168,6 +168,7 @@
 		if phases[h.Status] == control.Removed {
 			b.Sink.Remove(h.Name)
 			delete(b.here, h.Name)
+			delete(b.boots, h.Name) // ids come and go all day
 			continue
 		}
 		named[h.Name], b.here[h.Name] = true, true
@@ -178,6 +179,7 @@
 			if !named[name] {
 				b.Sink.Remove(name)
 				delete(b.here, name)
+				delete(b.boots, name)
 			}
 		}
 	}
--- a/internal/net/msgpackrpc/codec.go
+++ b/internal/net/msgpackrpc/codec.go
@@ -13,7 +13,8 @@
 const (
 	frameMost = 96 << 10 // bytes of one message; bodies go up to 48,000
 	depthMost = 5
-	itemsMost = 64 // of one array or map
+	itemsMost = 64  // of one array or map
+	valueMost = 256 // values in one message: what has not come whole is looked at again with each further byte
 )
 
 // kind is the family of a MessagePack value.
@@ -116,11 +117,14 @@
 	return v, b, err
 }
 
-// skip passes over the value at the start of b, items and all.
-func skip(b []byte, depth int) (rest []byte, err error) {
+// skip passes over the value at the start of b, items and all, if it has no more values than are left.
+func skip(b []byte, depth int, left *int) (rest []byte, err error) {
 	if depth > depthMost {
 		return nil, errors.New("values nested too deeply")
 	}
+	if *left--; *left < 0 {
+		return nil, errors.New("too many values")
+	}
 	v, rest, err := next(b)
 	items := uint64(0)
 	switch v.kind {
@@ -130,7 +134,7 @@
 		items = 2 * v.n
 	}
 	for ; err == nil && items > 0; items-- {
-		rest, err = skip(rest, depth+1)
+		rest, err = skip(rest, depth+1, left)
 	}
 	return rest, err
 }
--- a/internal/net/msgpackrpc/front.go
+++ b/internal/net/msgpackrpc/front.go
@@ -15,6 +15,10 @@
 const (
 	openMost  = 32 // requests open on one connection; further ones are refused
 	sweep     = 250 * time.Millisecond
+	bodyMost  = 48000   // bytes that a request carries
+	partMost  = 1 << 20 // parts of one object
+	groupMost = 255     // the last group
+	limitMost = time.Minute
 	keptMost  = 16 << 10  // of a connection's buffer, between messages
 	errorBack = "Backoff" // refused
 	errorLost = "Lost"    // failed
@@ -94,7 +98,8 @@
 	var batch []message
 	var bad error
 	for len(b) > 0 {
-		rest, err := skip(b, 0)
+		left := valueMost
+		rest, err := skip(b, 0, &left)
 		if errors.Is(err, errShort) && len(b) <= frameMost {
 			break
 		}
@@ -168,19 +173,27 @@
 	}
 	r := &gateway.Request{Ref: m.fields["txn"], Class: m.method, Object: m.fields["item"],
 		Key: m.fields["unique"], Have: m.fields["mine"], Retry: m.fields["second"] == "1", Body: m.body}
-	limit, err := strconv.ParseUint(m.fields["limit"], 10, 31)
-	number := func(name string) (n int) {
-		if s := m.fields[name]; s != "" && err == nil {
-			n, err = strconv.Atoi(s)
+	// Guards the other requests of a store's connection: the store closes it on what it cannot read.
+	var err error
+	number := func(name string, needed bool, most uint64) (n uint64) {
+		s := m.fields[name]
+		if s == "" && !needed || err != nil {
+			return 0
+		}
+		if n, err = strconv.ParseUint(s, 10, 31); err == nil && n > most {
+			err = fmt.Errorf("%s: %d is out of range", name, n)
 		}
 		return n
 	}
-	r.Part, r.Group = number("n"), number("shard")
+	limit := min(time.Duration(number("limit", true, 1<<31))*time.Millisecond, limitMost)
+	r.Part, r.Group = int(number("n", false, partMost)), int(number("shard", false, groupMost))
 	switch {
-	case !plain(r.Ref) || !plain(r.Object) || r.Key != "" && !plain(r.Key) || r.Have != "" && !plain(r.Have):
+	case !hexName(r.Ref) || !hexName(r.Object):
+		err = errors.New("txn and item have 16 hex digits")
+	case r.Key != "" && !plain(r.Key) || r.Have != "" && !plain(r.Have):
 		err = errors.New("a field that cannot be passed on")
-	case r.Part < 0 || r.Group < 0:
-		err = errors.New("a negative number")
+	case len(r.Body) > bodyMost:
+		err = errors.New("the body is too long")
 	}
 	if err != nil {
 		c.front.log.WithError(err).Debug("a request that cannot be read")
@@ -192,12 +205,22 @@
 		c.fail(m.id, errorBack, "later", "100")
 		return
 	}
-	r.Deadline = at.Add(time.Duration(limit) * time.Millisecond)
+	r.Deadline = at.Add(limit)
 	r.Answer = func(a gateway.Answer) { c.answer(m.id, a) }
 	c.open[m.id] = r
 	c.front.gateway.Submit(r)
 }
 
+// hexName says whether s is 16 hex digits.
+func hexName(s string) bool {
+	for i := 0; i < len(s); i++ {
+		if c := s[i]; !(c >= '0' && c <= '9' || c >= 'a' && c <= 'f') {
+			return false
+		}
+	}
+	return len(s) == 16
+}
+
 // plain says whether s can stand in a field of any wire that it is passed on to.
 func plain(s string) bool {
 	for i := 0; i < len(s); i++ {
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -17,8 +17,7 @@
 
 const (
 	readSize   = 64 << 10 // of the one buffer that all connections read into
-	writeMost  = 10 << 20 // bytes that may wait to be written on one connection,
-	totalMost  = 48 << 20 // and on all of them
+	writeMost  = 10 << 20 // bytes that may wait to be written on one connection
 	joinedMost = 8 << 10  // pieces up to this size are joined into one write
 
 	placeWithin = 100 * time.Millisecond // a connection beyond the most waits so long for a place
@@ -41,7 +40,8 @@
 type Engine struct {
 	log     logrus.FieldLogger
 	engine  *nbio.Engine
-	waiting atomic.Int64 // bytes that wait to be written
+	most    int64        // bytes that may wait to be written on all connections
+	waiting atomic.Int64 // bytes that do
 	handing sync.Mutex   // held while a connection is made, and taken before its parts are read
 
 	Opened, Closed atomic.Uint64
@@ -49,12 +49,12 @@
 	In, Out        atomic.Uint64 // bytes
 }
 
-// New starts an engine with one poller.
-func New(log logrus.FieldLogger) (*Engine, error) {
+// New starts an engine with one poller. It lets so many bytes wait to be written.
+func New(log logrus.FieldLogger, most int) (*Engine, error) {
 	logging.DefaultLogger = quiet{log}
-	e := &Engine{log: log}
+	e := &Engine{log: log, most: int64(most)}
 	e.engine = nbio.NewEngine(nbio.Config{Name: "larchusher", NPoller: 1, ReadBufferSize: readSize,
-		MaxWriteBufferSize: writeMost})
+		MaxWriteBufferSize: min(writeMost, most)})
 	e.engine.OnData(func(nc *nbio.Conn, b []byte) {
 		c := e.of(nc)
 		if c == nil {
@@ -109,7 +109,7 @@
 	for _, p := range pieces {
 		total += len(p)
 	}
-	if c.engine.waiting.Load()+int64(total) > totalMost && c.waiting.Load() > 0 {
+	if c.engine.waiting.Load()+int64(total) > c.engine.most && c.waiting.Load() > 0 {
 		err := fmt.Errorf("%d bytes wait to be written, and %d on this connection",
 			c.engine.waiting.Load(), c.waiting.Load())
 		_ = c.nc.CloseWithError(err)
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -277,6 +277,7 @@
 	good := r.client()
 	for _, b := range []string{"\xc1", "GET / HTTP/1.1\r\n\r\n", "\x94\x00\x01\xa5alive\x93\x80\xc0\xc0",
 		"\x94\x00\xc6\xff\xff\xff\xff", "\x91\x91\x91\x91\x91\x91\x91\x91", "\xdd\xff\xff\xff\xff",
+		"\x94\x00\x01\xa1x\x91\xdc\x00\x40" + strings.Repeat("\x98"+strings.Repeat("\xc0", 8), 60),
 		"\x94\x00\x01\xda\xff\xff" + strings.Repeat("x", 100<<10)} {
 		c := r.client()
 		c.raw([]byte(b))
@@ -300,6 +301,42 @@
 	}
 }
 
+// What stores could not use is answered at the front: they close their connection on what they cannot read, and all
+// that is open on it would be lost.
+func TestBadRequestsReachNoStore(t *testing.T) {
+	r := newRig(t).start()
+	c := r.client()
+	for _, bad := range [][]string{{"txn", "x"}, {"txn", ""}, {"item", "7f3a"}, {"item", "7F3A9C21E0B4D65G"}, {"n", "-1"},
+		{"n", "+1"}, {"n", "99999999"}, {"n", "NaN"}, {"shard", "256"}, {"limit", ""}, {"limit", "1e3"}, {"limit", "-5"},
+		{"limit", "99999999999999999999"}, {"unique", ""}, {"unique", "a=b"}, {"mine", "a,b"}, {"BODY", ""}} {
+		fields := map[string]string{"txn": "00000000000000ff", "item": object, "n": "3", "shard": "17", "limit": "3000",
+			"unique": "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"}
+		body := "move"
+		if fields[bad[0]] = bad[1]; bad[0] == "BODY" {
+			delete(fields, "BODY")
+			body = strings.Repeat("x", 48001)
+		}
+		var list []string
+		for k, v := range fields {
+			list = append(list, k, v)
+		}
+		c.id++
+		b := append([]byte{0x94, 0, byte(c.id)}, packText("turn-submit")...)
+		b = append(append(append(b, 0x92), packFields(list)...), 0xc5, byte(len(body)>>8), byte(len(body)))
+		c.raw(append(b, body...))
+		if a := c.next(); a.id != c.id || a.err == "" {
+			t.Errorf("%v: %+v", bad, a)
+		}
+	}
+	c.send("game-assets", object, 2*time.Second, "")
+	if a := c.next(); a.err != "" {
+		t.Errorf("%+v", a)
+	}
+	if n := len(r.asks("")); n != 1 {
+		t.Errorf("the stores saw %d", n)
+	}
+}
+
 func TestAStoreThatSpeaksNonsenseIsLeft(t *testing.T) {
 	for _, nonsense := range []string{"*9\r\n", "$3\r\nabc\r\n", "*4\r\n$99999999\r\n", "+OK\r\n", strings.Repeat("1", 100),
 		array("x", "HUH", "-", ""), array("x", "DONE"), "*1\r\n$3\r\nabcd\r\n"} {
@@ -354,6 +391,25 @@
 	}
 }
 
+// No kill comes sooner than 0.7 s after the longest deadline: until then what is open may still be served. It was
+// failed 3.5 s after SIGTERM, though it may take 5 s here.
+func TestTermLeavesTimeForTheLongestDeadline(t *testing.T) {
+	r := newRig(t).start()
+	held := make(chan *ask, 10)
+	r.on(func(a *ask) { held <- a })
+	c := r.client()
+	c.send("replay-video", object, 5*time.Second, "")
+	a := next(t, held)
+	r.signal(syscall.SIGTERM)
+	time.AfterFunc(4200*time.Millisecond, func() { done(a) })
+	if got := c.next(); got.err != "" {
+		t.Errorf("%+v", got)
+	}
+	if err := next(t, r.exited); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+}
+
 // A signal that comes as soon as the program says that it serves is minded. It was lost now and then, since
 // signals were taken in only after that.
 func TestSignalsAreMindedFromTheFirstMoment(t *testing.T) {
