--- a/control/control.go
+++ b/control/control.go
@@ -812,11 +812,11 @@
 	return s.budget >= 0
 }
 
-// gauge notes what warm servers of a role carry. Where none is left or all fail, the last ones' part holds.
+// gauge notes what warm servers of a role carry, ill ones too. It holds where none is left.
 func (d *Director) gauge(of role) {
 	rate, weight := 0.0, 0.0
 	for _, p := range d.inUse[of] {
-		if warm, _ := d.coldShare(p); warm >= 1 && p.penalty == 0 {
+		if warm, _ := d.coldShare(p); warm >= 1 {
 			rate += p.recent(d.now)
 			weight += p.weight
 		}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -849,3 +849,26 @@
 		t.Errorf("%d servers are kept", n)
 	}
 }
+
+// Caches that are ill count in what the warm ones carry, for the well carry their load. Left out, they made what a
+// cold one was sent four times what it could do.
+func TestIllCachesCountInWhatIsCarried(t *testing.T) {
+	r := newRig(t, nil)
+	for i := range 200 {
+		r.serve("page", fmt.Sprint(i%40), NoteHit)
+	}
+	for _, id := range []string{"c1", "c2"} { // these have answered nothing lately
+		r.d.servers[id].rate = 0
+		for range 3 {
+			r.d.failed(r.d.servers[id], false)
+		}
+	}
+	r.d.gauge(cache)
+	sum := 0.0
+	for _, s := range r.d.inUse[cache] {
+		sum += s.recent(r.now)
+	}
+	if got := r.d.carried[cache]; sum == 0 || got > 1.01*sum/4 {
+		t.Errorf("carried %v each, %v in all by four", got, sum)
+	}
+}
