--- /dev/null
+++ b/control/health.go
@@ -0,0 +1,122 @@
+// This file judges servers by what they answer: who is ill, and how much may be out where.
+
+package control
+
+import (
+	"math"
+	"time"
+)
+
+func (s *server) good(now time.Duration) {
+	s.lastOK, s.overdue = now, 0
+	if s.failing -= failWeight * s.failing; s.failing < failMany {
+		s.penalty = 0
+	}
+}
+
+// failed notes a failure of a server, and takes it out of use when they mount up.
+func (d *Director) failed(s *server, silent bool) {
+	s.failing += failWeight * (1 - s.failing)
+	if s.ejected > d.now || s.failing < failMany && !silent {
+		return
+	}
+	s.penalty = min(ejectLongest, max(ejectFirst, 2*s.penalty))
+	s.ejected = d.now + s.penalty
+}
+
+// lately is the wait for fills from s, which halves with each rateWindow in which none was seen.
+func (s *server) lately(now time.Duration) float64 {
+	return float64(s.quick) * math.Exp2(-float64(now-s.quickAt)/float64(rateWindow))
+}
+
+// likely says that a hit is to be expected: the entry is listed at s as it runs now.
+func (e *entry) likely(s *server) bool { return e.at == s && e.boot == s.boot }
+
+// limit learns how much may be out at a cache, at a source of fills, and at the origin behind the sources.
+// Answers later than the aim, and refusals, say that what is out there shares too little. The limit is then
+// cut to the share that was in time; only what was sent after a cut counts for the next one. Holds against
+// slow parts, full links and overload alike; may hurt where answers are late for reasons that no limit mends.
+func (d *Director) limit(r *request, a *attempt, o Outcome, hit bool) {
+	late := a.sent+o.Latency > r.aim() && !o.Status.broken() || o.Status == TurnedAway
+	if (o.Status == TimedOut || o.Status == Cancelled) && a.overtaken() {
+		return // an answer that got lost on its way says nothing of load
+	}
+	a.shared = !hit && (late || o.Status == ServerError) && (a.filling || o.Note != NoNote) && d.behind(a, o)
+	for _, g := range d.slow(a, o, hit, late) {
+		since := min(recently, d.now-g.seen)
+		w := max(smooth, min(smoothMost, smooth*since.Seconds()/fewSeconds))
+		g.seen = d.now
+		switch {
+		case !late:
+			g.late -= w * g.late
+			if g.late < lateMany && (o.Status == OK || o.Status == Miss) && float64(g.out+1) >= g.most/2 {
+				g.most += min(1/g.most, limitUp*g.most*since.Seconds())
+			}
+		case a.sent >= g.cut:
+			if g.late += w * (1 - g.late); g.late > lateMany {
+				g.most = max(g.least, (1-g.late)*min(float64(g.out+1), g.most))
+				g.cut = d.now
+			}
+		}
+	}
+}
+
+// overtaken says that what was sent later, by the same way, has been answered.
+func (a *attempt) overtaken() bool {
+	return a.to.passed > a.sent && (!a.filling || a.source.passed > a.sent)
+}
+
+// slow names what an outcome's time speaks of: the cache if it answered by itself, else a part of the fill.
+func (d *Director) slow(a *attempt, o Outcome, hit, late bool) []*gauge {
+	fill := a.source != a.to && !hit && (a.filling || o.Note != NoNote)
+	switch {
+	case !fill:
+		return []*gauge{&a.to.held}
+	case a.onlyHeld || a.source.role == cache || late && !a.shared ||
+		o.Note == NoteFilled && d.set.Tells == TellsAll:
+		return []*gauge{&a.source.held}
+	case late || a.source.role == origin:
+		return []*gauge{&d.fetches}
+	}
+	return []*gauge{&a.source.held, &d.fetches}
+}
+
+// behind says whether a late or failed fill is the origin's fault rather than its parent's: where that isn't
+// told, if the one before it came by another parent. One that is slow, silent or gone stays alone with it.
+func (d *Director) behind(a *attempt, o Outcome) bool {
+	if a.source.role != parent || a.onlyHeld || o.Note == NoteSourceLost && o.Status == TurnedAway {
+		return a.source.role == origin
+	}
+	other := d.lateBy != a.source || len(d.inUse[parent]) < 2
+	d.lateBy = a.source
+	return other || o.Note == NoteOriginFailed
+}
+
+// room says whether one more attempt may be out. A client's repeat has lost part of its time: it stops first.
+// A limit need not be whole: its fraction is a chance, for one of many directors has less than one attempt
+// out.
+func (d *Director) room(g *gauge, r *request) bool {
+	most := g.most
+	if r.Retry {
+		most *= limitDown
+	}
+	return float64(g.out)+r.luck < most
+}
+
+// usable says whether a server may be sent something now.
+func (d *Director) usable(s *server, r *request) bool {
+	return s.up && d.affordable(s, r) && (d.healthy(s) || d.floored(s))
+}
+
+func (d *Director) healthy(s *server) bool { return s.penalty == 0 || s.ejected <= d.now && !s.trial }
+
+// floored says that so many of the servers of a role look ill that the fault is likely elsewhere.
+func (d *Director) floored(s *server) bool {
+	n := 0
+	for _, p := range d.inUse[s.role] {
+		if d.healthy(p) {
+			n++
+		}
+	}
+	return s.role == origin || float64(n) < inUseLeast*float64(len(d.inUse[s.role]))
+}
