Count a draining cache's refusals for itself: they closed sources and the branch

Probes logged each cut of a limit and each refusal. Its refusals were booked on the source each time: within 0.6 s both parents and the origin were tried three to a request, ejected, and the limit on fetches cut from none to 1.4, which refused the whole branch's misses (193 unsent, 316 misses). At fault: learn() took every refusal of an attempt with a source for the source's, limit() and slow() likewise. Now: a refusal that comes four times sooner than any fill from that source ever came was the cache's own, once the cache has refused what should have been a hit and answered nothing sent since. It counts for the cache and another is asked. Also: an answer that is late only because earlier attempts of its request came to nothing cuts no limit (seen as cuts at 298 ms with an aim of 793). Both tests fail without the change.

--- a/control/control.go
+++ b/control/control.go
@@ -38,6 +38,7 @@
 	chanceLeast = 0.1 // nor below this for each
 	limitUp     = 0.4 // in a second of answers in time it grows by this share at most
 	workGuess   = 0.1 // sending time, as a share of the aim, where nothing tells of sizes yet
+	atOnce      = 4   // a refusal that came this many times sooner than any fill asked no source
 	quicker     = 2   // a parent is quicker than another if it waits this many times less
 	coldMargin  = 0.9 // share of a cold server's budget that is spent: peers differ in size
 
@@ -569,10 +570,11 @@
 			a.source.passed = max(a.source.passed, a.sent)
 			a.source.quick += time.Duration(smooth * float64(max(0, o.Latency-r.work)-a.source.quick))
 			a.source.quickAt = d.now
+			a.source.least = min(cmp.Or(a.source.least, o.Latency), o.Latency)
 		}
 	case ServerError, Reset, NotConnected, TurnedAway:
 		bad := a.to
-		if a.source != a.to && (o.Note >= NoteSourceRefused || o.Status == TurnedAway ||
+		if a.source != a.to && !a.own && (o.Note >= NoteSourceRefused || o.Status == TurnedAway ||
 			o.Status == ServerError && o.Note == NoNote && a.source.lastOK < a.to.lastOK) { // untold
 			bad = a.source
 		}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -872,3 +872,70 @@
 		t.Errorf("carried %v each, %v in all by four", got, sum)
 	}
 }
+
+// A cache that drains before the list says so refuses everything at once, hits and fills. That is its own doing:
+// after three refusals it is left alone, and neither the sources nor the other caches lose anything by it.
+func TestARefusalAtOnceIsTheCachesOwn(t *testing.T) {
+	r := newRig(t, func(s *Settings) { s.Tells = TellsHit })
+	draining := r.serve("film", "hot0", NoteFilled).Server
+	for i := range 60 { // these have a home now, and fills have told how soon a source can answer
+		r.serve("film", fmt.Sprint("hot", i), NoteFilled)
+	}
+	refused := 0
+	for i := range 60 {
+		object := fmt.Sprint("hot", i)
+		if i%2 == 1 {
+			object = fmt.Sprint("new", i)
+		}
+		id, a := r.ask("film", object)
+		for n := 0; a != nil && a.Server == draining; n++ {
+			refused++
+			a = first[Ask](r.do(Outcome{ID: id, Attempt: n, Server: a.Server, Status: TurnedAway}))
+		}
+		if a == nil {
+			t.Fatalf("request %d for %s was given up, with three caches and all sources well", i, object)
+		}
+		n := len(r.d.requests[id].attempts) - 1
+		r.after(40 * ms).do(Outcome{ID: id, Attempt: n, Server: a.Server, Status: OK, Note: NoteFilled, Final: true,
+			Latency: 40 * ms})
+	}
+	for _, l := range r.d.inUse[parent:] {
+		for _, s := range l {
+			if s.penalty > 0 || s.held.most < 1000 {
+				t.Errorf("%s: limit %.1f, ejected for %v", s.id, s.held.most, s.penalty)
+			}
+		}
+	}
+	if most := r.d.fetches.most; most < 1000 {
+		t.Errorf("fetches are limited to %.1f", most)
+	}
+	if refused < 3 || refused > 10 {
+		t.Errorf("the draining cache was asked %d times", refused)
+	}
+}
+
+// An answer that is late because an earlier attempt of its request came to nothing says nothing of load.
+func TestTimeOfEarlierAttemptsCutsNoLimit(t *testing.T) {
+	r := newRig(t, nil)
+	for i := range 30 {
+		id, a := r.ask("film", fmt.Sprint("x", i))
+		if a == nil {
+			t.Fatalf("request %d was refused", i)
+		}
+		a = first[Ask](r.after(1200 * ms).do(Outcome{ID: id, Server: a.Server, Status: Reset, Along: true,
+			Latency: 1200 * ms}))
+		if a == nil {
+			t.Fatalf("request %d was not sent again", i)
+		}
+		r.after(100 * ms).do(Outcome{ID: id, Attempt: 1, Server: a.Server, Status: OK, Note: NoteFilled, Final: true,
+			Latency: 100 * ms})
+		for k := range 10 { // further attempts are earned
+			r.serve("film", fmt.Sprint("y", i, k), NoteHit)
+		}
+	}
+	for _, s := range r.d.servers {
+		if s.held.most < 1000 {
+			t.Errorf("%s is limited to %.1f", s.id, s.held.most)
+		}
+	}
+}
--- a/control/health.go
+++ b/control/health.go
@@ -41,7 +41,13 @@
 	if (o.Status == TimedOut || o.Status == Cancelled) && a.overtaken() {
 		return // an answer that got lost on its way says nothing of load
 	}
-	a.shared = !hit && (late || o.Status == ServerError) && (a.filling || o.Note != NoNote) && d.behind(a, o)
+	if late && o.Status == OK && o.Latency <= r.aim()-r.start {
+		return // earlier attempts took the time
+	}
+	if a.own = o.Status == TurnedAway && a.refusedItself(o); a.own && a.filling {
+		return
+	}
+	a.shared = !hit && !a.own && (late || o.Status == ServerError) && (a.filling || o.Note != NoNote) && d.behind(a, o)
 	for _, g := range d.slow(a, o, hit, late) {
 		since := min(recently, d.now-g.seen)
 		w := max(smooth, min(smoothMost, smooth*since.Seconds()/fewSeconds))
@@ -61,6 +67,18 @@
 	}
 }
 
+// refusedItself says that a refusal is the cache's own, and not its source's. Where that isn't told: it came
+// sooner than a source can be asked. For a fill that may only mean that the places for fills are taken, unless
+// the cache has refused a hit since it answered well. Guards against a cache that drains before the list says
+// so: its refusals closed the sources, and through them the whole branch.
+func (a *attempt) refusedItself(o Outcome) bool {
+	own := a.source == a.to || o.Note == NoNote && o.Latency < a.source.least/atOnce
+	if own && !a.filling {
+		a.to.closed = a.sent
+	}
+	return own && a.to.closed > a.to.passed
+}
+
 // overtaken says that what was sent later, by the same way, has been answered.
 func (a *attempt) overtaken() bool {
 	return a.to.passed > a.sent && (!a.filling || a.source.passed > a.sent)
@@ -68,7 +86,7 @@
 
 // slow names what an outcome's time speaks of: the cache if it answered by itself, else a part of the fill.
 func (d *Director) slow(a *attempt, o Outcome, hit, late bool) []*gauge {
-	fill := a.source != a.to && !hit && (a.filling || o.Note != NoNote)
+	fill := a.source != a.to && !hit && !a.own && (a.filling || o.Note != NoNote)
 	switch {
 	case !fill:
 		return []*gauge{&a.to.held}
--- a/control/state.go
+++ b/control/state.go
@@ -73,6 +73,8 @@
 	penalty        time.Duration // length of the latest ejection
 	trial          bool          // back from ejection, with one attempt out to try it
 	quick, quickAt time.Duration // fills: time beyond the sending itself, lately, and when it was seen
+	closed         time.Duration // latest sending of what should have been a hit and was refused at once
+	least          time.Duration // of the times in which fills from here came; 0: none did
 	held           gauge         // our attempts that are out here, and those that wait for a fill from here
 	rate           float64       // work a second that it did for us, lately
 	rateAt         time.Duration
@@ -119,6 +121,7 @@
 	trial      bool // it tries a server that was ejected
 	filling    bool // a fill from source is expected
 	onlyHeld   bool // from what the source holds
+	own        bool // refused by the cache itself
 	shared     bool // late or failed by what lies behind the source
 	overdue    bool // an answer was due by now
 }
