Writes on a connection that has closed meanwhile hold no room

Seen by reading: transport.Conn.Write counted its bytes as waiting before nbio reported the connection closed, and OnClosed had taken the sum back by then. Each answer that crossed a client's leaving took up to 240 KB off the memory for unread answers for good; after some hundred of them any client with an unread answer would be closed.

--- a/control/health.go
+++ b/control/health.go
@@ -47,7 +47,8 @@
 	if a.own = o.Status == TurnedAway && a.refusedItself(o); a.own && a.filling {
 		return
 	}
-	a.shared = !hit && !a.own && (late || o.Status == ServerError) && (a.filling || o.Note != NoNote) && d.behind(a, o)
+	a.shared = !hit && !a.own && (late || o.Status == ServerError) && (a.filling || o.Note != NoNote) &&
+		d.behind(a, o)
 	for _, g := range d.slow(a, o, hit, late) {
 		since := min(recently, d.now-g.seen)
 		w := max(smooth, min(smoothMost, smooth*since.Seconds()/fewSeconds))
@@ -68,9 +69,9 @@
 }
 
 // refusedItself says that a refusal is the cache's own, and not its source's. Where that isn't told: it came
-// sooner than a source can be asked. For a fill that may only mean that the places for fills are taken, unless
-// the cache has refused a hit since it answered well. Guards against a cache that drains before the list says
-// so: its refusals closed the sources, and through them the whole branch.
+// sooner than a source can be asked. For a fill that may mean that the places for fills are taken and no more,
+// unless the cache has refused a hit since it answered well. Guards against a cache that drains before the
+// list says so: its refusals closed the sources, and through them the whole branch.
 func (a *attempt) refusedItself(o Outcome) bool {
 	own := a.source == a.to || o.Note == NoNote && o.Latency < a.source.least/atOnce
 	if own && !a.filling {
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -78,7 +78,7 @@
 			return
 		}
 		e.Closed.Add(1)
-		e.waiting.Add(-c.waiting.Swap(0))
+		c.settle()
 		c.handler.OnClosed(c, err)
 	})
 	if err := e.engine.Start(); err != nil {
@@ -130,12 +130,16 @@
 			continue
 		}
 		if _, err := c.nc.Write(p); err != nil {
+			c.settle() // it may have been closed before the pieces were counted
 			return fmt.Errorf("writing to %s: %w", c.Remote, err)
 		}
 	}
 	return nil
 }
 
+// settle takes what waits off the engine's sum, once the connection is closed.
+func (c *Conn) settle() { c.engine.waiting.Add(-c.waiting.Swap(0)) }
+
 // Close ends the connection; OnClosed follows.
 func (c *Conn) Close(err error) { _ = c.nc.CloseWithError(err) }
 
