--- a/control/health.go
+++ b/control/health.go
@@ -69,9 +69,9 @@
 }
 
 // refusedItself says that a refusal is the cache's own, and not its source's. Where that isn't told: it came
-// sooner than a source can be asked. For a fill that may mean that the places for fills are taken and no more,
-// unless the cache has refused a hit since it answered well. Guards against a cache that drains before the
-// list says so: its refusals closed the sources, and through them the whole branch.
+// sooner than a source can be asked. For a fill that may only mean that no place for fills is free, unless
+// the cache has refused a hit since it answered well. Guards against a cache that drains before the list says
+// so: its refusals closed the sources, and through them the whole branch.
 func (a *attempt) refusedItself(o Outcome) bool {
 	own := a.source == a.to || o.Note == NoNote && o.Latency < a.source.least/atOnce
 	if own && !a.filling {
