Send a second copy of what is due where answers were seen to get lost

The director knew: it told such answers from slow ones (overtaken) so as to cut no limit. Now each answer lost for good earns ten second copies (20 at most), spent on first attempts that are due, overtaken, and where neither the cache, the source nor the fetches have a limit. Ten, since a copy that wins hides a loss.

--- a/control/control.go
+++ b/control/control.go
@@ -28,6 +28,8 @@
 	smoothMost  = 0.3 // but no more than this
 	retryEarned = 0.1 // further attempts earned by one success
 	retryMost   = 10  // further attempts that can be saved up
+	copyEarned  = 10  // second copies earned by one answer that never came
+	copyMost    = 20  // second copies that can be saved up
 	failMany    = 0.4 // share of recent attempts failing that ejects a server
 	failWeight  = 0.2 // weight of the newest in it: three failures in a row eject
 	silentLeast = 3   // answers overdue, with none in between, that eject a server
@@ -476,6 +478,11 @@
 			}
 		}
 	}
+	if d.doubtful(r, a) {
+		d.copies--
+		d.attempt(r)
+		return
+	}
 	d.do(Wake{At: d.now + max(d.set.Step, r.class.Aim/2), Token: r.token})
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -939,3 +939,50 @@
 		}
 	}
 }
+
+// Where answers get lost on their way, a second copy is sent once the answer is due and later ones have come. Where
+// none did, or a limit binds, the answer is waited for.
+func TestSecondCopiesOfLostAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		lost, limited bool
+		copies        int
+	}{{"lost", true, false, 1}, {"slow", false, false, 0}, {"limited", true, true, 0}} {
+		r := newRig(t, nil)
+		at := r.serve("page", "x", NoteFilled).Server
+		overtaken := func() (id string, a *Ask) { // an answer that later ones overtake
+			for {
+				if id, a = r.ask("page", "x"); a.Server == at {
+					r.after(ms).serve("page", "x", NoteHit)
+					return id, a
+				}
+				r.do(Outcome{ID: id, Server: a.Server, Status: OK, Note: NoteHit, Final: true, Latency: ms}) // a detour
+			}
+		}
+		if c.lost {
+			id, a := overtaken()
+			r.after(3 * time.Second)
+			r.do(Outcome{ID: id, Server: a.Server, Status: TimedOut, Final: true, Latency: 3050 * ms})
+			r.serve("page", "x", NoteHit)
+		}
+		if c.limited {
+			r.d.servers[at].held.most = 50
+		}
+		id, _ := overtaken()
+		copies := 0
+		for range 5 {
+			for _, a := range r.after(100 * ms).do(Timer{Token: r.d.requests[id].token}) {
+				if _, ok := a.(Ask); ok {
+					copies++
+				}
+			}
+		}
+		if copies != c.copies {
+			t.Errorf("%s: %d second copies, not %d", c.name, copies, c.copies)
+		}
+		if out := r.do(Outcome{ID: id, Attempt: copies, Server: at, Status: OK, Final: true}); copies == 1 &&
+			first[Cancel](out) == nil {
+			t.Errorf("%s: the first attempt is still waited for: %v", c.name, out)
+		}
+	}
+}
--- a/control/health.go
+++ b/control/health.go
@@ -39,6 +39,9 @@
 func (d *Director) limit(r *request, a *attempt, o Outcome, hit bool) {
 	late := a.sent+o.Latency > r.aim() && !o.Status.broken() || o.Status == TurnedAway
 	if (o.Status == TimedOut || o.Status == Cancelled) && a.overtaken() {
+		if d.now >= r.Deadline-2*d.set.Step && len(r.attempts) == 1 {
+			d.copies = min(copyMost, d.copies+copyEarned)
+		}
 		return // an answer that got lost on its way says nothing of load
 	}
 	if late && o.Status == OK && o.Latency <= r.aim()-r.start {
@@ -85,6 +88,14 @@
 	return a.to.passed > a.sent && (!a.filling || a.source.passed > a.sent)
 }
 
+// doubtful says that an attempt's answer is likely to have got lost: it is due, later ones have been answered,
+// and answers did get lost of late. Another can then still come in time. Not where anything is at its limit:
+// slow answers would be asked for twice.
+func (d *Director) doubtful(r *request, a *attempt) bool {
+	return a.out && len(r.attempts) == 1 && d.set.SecondCopies && d.copies >= 1 && a.overtaken() &&
+		math.IsInf(min(a.to.held.most, d.fetches.most), 1) && (!a.filling || math.IsInf(a.source.held.most, 1))
+}
+
 // slow names what an outcome's time speaks of: the cache if it answered by itself, else a part of the fill.
 func (d *Director) slow(a *attempt, o Outcome, hit, late bool) []*gauge {
 	fill := a.source != a.to && !hit && !a.own && (a.filling || o.Note != NoNote)
--- a/control/state.go
+++ b/control/state.go
@@ -24,6 +24,7 @@
 	tokens   map[uint64]*request // by the token of their timers
 	token    uint64
 	spare    float64                  // further attempts that recent success has earned
+	copies   float64                  // second copies that lost answers have earned
 	purged   map[string]time.Duration // when objects and groups were purged
 	carried  [3]float64               // by role, work a second for each weight that warm ones carried for us
 	fetches  gauge                    // fills that may go through to the origin
