--- a/control/health.go
+++ b/control/health.go
@@ -88,12 +88,13 @@
 	return a.to.passed > a.sent && (!a.filling || a.source.passed > a.sent)
 }
 
-// doubtful says that an attempt's answer is likely to have got lost: it is due, later ones have been answered,
+// doubtful says that an attempt's answer is likely to be lost: it is due, later ones have been answered,
 // and answers did get lost of late. Another can then still come in time. Not where anything is at its limit:
 // slow answers would be asked for twice.
 func (d *Director) doubtful(r *request, a *attempt) bool {
 	return a.out && len(r.attempts) == 1 && d.set.SecondCopies && d.copies >= 1 && a.overtaken() &&
-		math.IsInf(min(a.to.held.most, d.fetches.most), 1) && (!a.filling || math.IsInf(a.source.held.most, 1))
+		math.IsInf(min(a.to.held.most, d.fetches.most), 1) &&
+		(!a.filling || math.IsInf(a.source.held.most, 1))
 }
 
 // slow names what an outcome's time speaks of: the cache if it answered by itself, else a part of the fill.
