--- a/internal/net/msgpackrpc/front.go
+++ b/internal/net/msgpackrpc/front.go
@@ -13,15 +13,16 @@
 )
 
 const (
-	openMost  = 32 // requests open on one connection; further ones are refused
-	sweep     = 250 * time.Millisecond
-	bodyMost  = 48000   // bytes that a request carries
-	partMost  = 1 << 20 // parts of one object
-	groupMost = 255     // the last group
-	limitMost = time.Minute
-	keptMost  = 16 << 10  // of a connection's buffer, between messages
-	errorBack = "Backoff" // refused
-	errorLost = "Lost"    // failed
+	openMost    = 32 // requests open on one connection; further ones are refused
+	sweep       = 250 * time.Millisecond
+	bodyMost    = 48000   // bytes that a request carries
+	partMost    = 1 << 20 // parts of one object
+	groupMost   = 255     // the last group
+	limitMost   = time.Minute
+	keptMost    = 16 << 10  // of a connection's buffer, between messages
+	messageCost = 512       // memory of a message beside its body
+	errorBack   = "Backoff" // refused
+	errorLost   = "Lost"    // failed
 )
 
 // Front takes requests from the platform's clients.
@@ -97,7 +98,8 @@
 	}
 	var batch []message
 	var bad error
-	for len(b) > 0 {
+	held := 0
+	for len(b) > 0 && bad == nil {
 		left := valueMost
 		rest, err := skip(b, 0, &left)
 		if errors.Is(err, errShort) && len(b) <= frameMost {
@@ -109,6 +111,8 @@
 				m.body = append([]byte(nil), m.body...) // the buffer is used again
 				batch = append(batch, m)
 				b = rest
+				held += messageCost + len(m.body)
+				bad = tc.Hold(messageCost + len(m.body))
 				continue
 			}
 		}
@@ -125,6 +129,7 @@
 			c.front.Malformed++
 		}
 		c.take(tc, batch, half, at)
+		tc.Release(held)
 	})
 	return bad
 }
--- a/internal/net/signedfront/front.go
+++ b/internal/net/signedfront/front.go
@@ -108,8 +108,12 @@
 
 // OnBytes hands on what came.
 func (c *conn) OnBytes(tc *transport.Conn, b []byte, at time.Time) error {
+	if err := tc.Hold(len(b)); err != nil {
+		tc.Release(len(b))
+		return err
+	}
 	b = append([]byte(nil), b...)
-	if !c.front.loop.Post(func() { c.take(tc, b, at) }) {
+	if !c.front.loop.Post(func() { c.take(tc, b, at); tc.Release(len(b)) }) {
 		return errors.New("the program ends")
 	}
 	return nil
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -20,6 +20,9 @@
 	writeMost  = 10 << 20 // bytes that may wait to be written on one connection
 	joinedMost = 8 << 10  // pieces up to this size are joined into one write
 
+	heldMost = 2 << 20  // memory that one connection may hold (see Conn.Hold)
+	heldFair = 64 << 10 // and that each may hold however much all do
+
 	placeWithin = 100 * time.Millisecond // a connection beyond the most waits so long for a place
 )
 
@@ -42,6 +45,7 @@
 	engine  *nbio.Engine
 	most    int64        // bytes that may wait to be written on all connections
 	waiting atomic.Int64 // bytes that do
+	held    atomic.Int64 // memory that all connections hold, half of most at the most
 	handing sync.Mutex   // held while a connection is made, and taken before its parts are read
 
 	Opened, Closed atomic.Uint64
@@ -97,6 +101,25 @@
 	nc      *nbio.Conn
 	handler Handler
 	waiting atomic.Int64
+	held    atomic.Int64
+}
+
+// Hold notes memory that what has come on the connection takes until the loop has dealt with it, and Release that it
+// has. An error says that this is too much. Guards against clients that send at full speed what is quicker to read
+// than to answer: it would pile up between the poller and the loop.
+func (c *Conn) Hold(n int) error {
+	e, own := c.engine, c.held.Add(int64(n))
+	all := e.held.Add(int64(n))
+	if own > min(heldMost, e.most/4) || all > e.most/2 && own > heldFair {
+		return fmt.Errorf("%d bytes have come and wait, and %d on all connections", own, all)
+	}
+	return nil
+}
+
+// Release gives back what was held, on an error of Hold, too.
+func (c *Conn) Release(n int) {
+	c.held.Add(int64(-n))
+	c.engine.held.Add(int64(-n))
 }
 
 // Waiting is the number of bytes that wait to be written.
