Close checks that say nothing; hold no request for longer than its class's deadline

Seen by reading: a connection to the health or agent check had no time limit; 40 that say nothing held all places (8 to 16), and a balancer's own check found none, for good. And a client's limit of a minute was believed: its request stayed for a minute where no store answered, twelve times what its class allows. Both tests fail without the change (20 s of patience each). The checks' connections end after 2 s, as the fronts' do.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"runtime/debug"
-	"slices"
 	"strconv"
 	"time"
 
@@ -113,6 +112,12 @@
 		g.answer(r, Answer{Outcome: Failed})
 		return
 	}
+	// Guards the memory: nothing is held for longer than any client of the class waits.
+	if c := g.class(r.Class); c != nil && c.Deadline > 0 {
+		if last := g.cfg.Loop.Now().Add(c.Deadline); r.Deadline.After(last) {
+			r.Deadline = last
+		}
+	}
 	// Guards the one answer by the deadline, whatever the director does: it is due Settings.Step earlier.
 	r.expiry = g.cfg.Loop.At(r.Deadline, func() { g.expire(r) })
 	g.handle(event{request: r, Event: control.Request{ID: r.id, Class: r.Class, Tenant: r.Tenant,
@@ -142,21 +147,26 @@
 	g.giveUp(r)
 }
 
-// safe says whether a class's requests may be repeated freely. An unknown class never runs.
-func (g *Gateway) safe(class string) bool {
-	for _, c := range g.cfg.Settings.Classes {
-		if c.Name == class {
-			return c.Effect == control.Safe
+// class is what the settings say of a class; nil: nothing.
+func (g *Gateway) class(name string) *control.Class {
+	for i := range g.cfg.Settings.Classes {
+		if c := &g.cfg.Settings.Classes[i]; c.Name == name {
+			return c
 		}
 	}
-	return true
+	return nil
+}
+
+// safe says whether a class's requests may be repeated freely. An unknown class never runs.
+func (g *Gateway) safe(class string) bool {
+	c := g.class(class)
+	return c == nil || c.Effect == control.Safe
 }
 
 // keyed says whether a class's requests carry a key.
 func (g *Gateway) keyed(class string) bool {
-	return slices.ContainsFunc(g.cfg.Settings.Classes, func(c control.Class) bool {
-		return c.Name == class && c.Effect == control.Keyed
-	})
+	c := g.class(class)
+	return c != nil && c.Effect == control.Keyed
 }
 
 // giveUp ends the attempts of a request that nobody waits for.
--- a/internal/net/agentcheck/agentcheck.go
+++ b/internal/net/agentcheck/agentcheck.go
@@ -49,6 +49,14 @@
 	return engine.Listen(addr, most, nil, func() transport.Handler { return agent{c} })
 }
 
+// bound ends a connection that is still there after a while. Guards against checks that hold their few places and
+// say nothing: the balancer's own would find none.
+func (c *Checker) bound(tc *transport.Conn) {
+	c.Loop.Post(func() {
+		c.Loop.After(transport.SpeakWithin, func() { tc.Close(errors.New("it takes too long")) })
+	})
+}
+
 // close ends a connection once its answer has left.
 func (c *Checker) close(tc *transport.Conn) {
 	if tc.Waiting() > 0 {
@@ -61,6 +69,9 @@
 // agent is one agent-check connection.
 type agent struct{ checker *Checker }
 
+// OnOpened bounds the connection's time.
+func (a agent) OnOpened(tc *transport.Conn) { a.checker.bound(tc) }
+
 // OnReady answers at once.
 func (a agent) OnReady(tc *transport.Conn) {
 	a.checker.Loop.Post(func() {
@@ -84,6 +95,9 @@
 	done    bool
 }
 
+// OnOpened bounds the connection's time.
+func (h *health) OnOpened(tc *transport.Conn) { h.checker.bound(tc) }
+
 func (h *health) OnBytes(tc *transport.Conn, b []byte, _ time.Time) error {
 	if h.done {
 		return nil
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -121,6 +121,18 @@
 	}
 }
 
+// A client that claims to wait for a minute is answered when its class gives up.
+func TestNobodyIsWaitedForLongerThanTheClass(t *testing.T) {
+	r := newRig(t).start()
+	r.on(func(*ask) {})
+	c := r.client()
+	began := time.Now()
+	c.send("game-assets", object, time.Minute, "")
+	if a := c.next(); a.err == "" || time.Since(began) > 4*time.Second {
+		t.Errorf("after %v: %+v", time.Since(began), a)
+	}
+}
+
 // A request that has been given up is refused at once, with word of when to come back.
 func TestARefusalComesAtOnce(t *testing.T) {
 	r := newRig(t)
--- a/test/signed_test.go
+++ b/test/signed_test.go
@@ -380,6 +380,24 @@
 	if status, _, _ := newWeb(t, health).get("GET", "/healthz"); status != 200 {
 		t.Errorf("health: %d", status)
 	}
+	for range 40 { // they say nothing, and hold all places for checks
+		c, err := net.Dial("tcp", health)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	eventually(t, "a place comes free for a check", func() bool {
+		c, err := net.Dial("tcp", health)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(patience))
+		_, _ = io.WriteString(c, "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
+		b, _ := io.ReadAll(c)
+		return strings.HasPrefix(string(b), "HTTP/1.1 200")
+	})
 	if status, _, _ := newWeb(t, health).get("GET", "/other"); status != 404 {
 		t.Errorf("another path: %d", status)
 	}
