Blame a request that no store can use, not the stores: one took all spare attempts

Probes logged cuts and failed attempts. Now an error counts once another attempt of the request goes well; from the third attempt on an error ends the request; one that is late only for its earlier attempts cuts nothing. The test fails without the change (six attempts).

--- a/control/control.go
+++ b/control/control.go
@@ -28,8 +28,8 @@
 	smoothMost  = 0.3 // but no more than this
 	retryEarned = 0.1 // further attempts earned by one success
 	retryMost   = 10  // further attempts that can be saved up
-	copyEarned  = 10  // second copies earned by one answer that never came
-	copyMost    = 20  // second copies that can be saved up
+	errorsMost  = 3   // from this attempt on an error ends the request, which may be at fault itself
+	copyEarned  = 10  // second copies earned by one answer that never came; twice that can be saved up
 	failMany    = 0.4 // share of recent attempts failing that ejects a server
 	failWeight  = 0.2 // weight of the newest in it: three failures in a row eject
 	silentLeast = 3   // answers overdue, with none in between, that eject a server
@@ -537,7 +537,8 @@
 	case r.outstanding():
 	case o.Status == Miss && (a.onlyHeld || a.source == a.to): // what could fill it is at its limit
 		d.giveUp(r)
-	case d.now >= r.Deadline-d.set.Step || d.spare < 1:
+	case d.now >= r.Deadline-d.set.Step || d.spare < 1,
+		o.Status == ServerError && len(r.attempts) >= errorsMost:
 		d.giveUp(r)
 	default:
 		d.spare--
@@ -565,6 +566,10 @@
 	switch o.Status {
 	case OK:
 		d.spare = min(retryMost, d.spare+retryEarned)
+		for _, s := range r.blamed {
+			d.failed(s, false)
+		}
+		r.blamed = nil
 		a.to.good(d.now)
 		a.to.passed = max(a.to.passed, a.sent)
 		a.to.carry(d.now, d.cost(r))
@@ -586,7 +591,11 @@
 			bad = a.source
 		}
 		r.tried = append(r.tried, bad)
-		if o.Note != NoteNoPlace && !o.Along && !(bad.role == parent && a.shared) {
+		switch {
+		case o.Note == NoteNoPlace || o.Along || bad.role == parent && a.shared:
+		case o.Status == ServerError && o.Note == NoNote: // or the request is at fault: the next one tells
+			r.blamed = append(r.blamed, bad)
+		default:
 			d.failed(bad, false)
 		}
 	case Miss:
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -986,3 +986,40 @@
 		}
 	}
 }
+
+// A request that every store answers with an error is at fault itself: it is given up after a few attempts, which
+// cost no store its good name, and leaves further attempts to others.
+func TestARequestThatNoStoreCanUse(t *testing.T) {
+	r := newRig(t, func(s *Settings) { s.Tells = TellsHit })
+	for i := range 20 {
+		id, a := r.ask("film", fmt.Sprint("bad", i))
+		n := 0
+		for ; a != nil; n++ {
+			a = first[Ask](r.do(Outcome{ID: id, Attempt: n, Server: a.Server, Status: ServerError}))
+		}
+		if n < 2 || n > 3 || r.d.requests[id] != nil {
+			t.Fatalf("request %d: %d attempts, open: %v", i, n, r.d.requests[id] != nil)
+		}
+		for k := range 30 {
+			r.serve("film", fmt.Sprint("good", i, k), NoteHit)
+		}
+	}
+	for _, s := range r.d.servers {
+		if s.penalty > 0 || s.failing > 0 {
+			t.Errorf("%s: failing %.2f, ejected for %v", s.id, s.failing, s.penalty)
+		}
+	}
+	for i := 0; r.d.servers["c1"].penalty == 0; i++ { // one that fails where others do well is left alone
+		if i == 200 {
+			t.Fatal("a cache that always fails is still asked")
+		}
+		id, a := r.ask("film", fmt.Sprint("new", i))
+		n := 0
+		for ; a.Server == "c1"; n++ {
+			r.d.servers["c1"].lastOK = 0
+			a = first[Ask](r.do(Outcome{ID: id, Attempt: n, Server: a.Server, Status: ServerError}))
+		}
+		r.after(20 * ms).do(Outcome{ID: id, Attempt: n, Server: a.Server, Status: OK, Note: NoteFilled, Final: true,
+			Latency: 20 * ms})
+	}
+}
--- a/control/health.go
+++ b/control/health.go
@@ -40,14 +40,13 @@
 	late := a.sent+o.Latency > r.aim() && !o.Status.broken() || o.Status == TurnedAway
 	if (o.Status == TimedOut || o.Status == Cancelled) && a.overtaken() {
 		if d.now >= r.Deadline-2*d.set.Step && len(r.attempts) == 1 {
-			d.copies = min(copyMost, d.copies+copyEarned)
+			d.copies = min(2*copyEarned, d.copies+copyEarned)
 		}
 		return // an answer that got lost on its way says nothing of load
 	}
-	if late && o.Status == OK && o.Latency <= r.aim()-r.start {
-		return // earlier attempts took the time
-	}
-	if a.own = o.Status == TurnedAway && a.refusedItself(o); a.own && a.filling {
+	a.own = o.Status == TurnedAway && a.refusedItself(o)
+	earlier := late && (o.Status == OK || o.Status == ServerError) && o.Latency <= r.aim()-r.start
+	if earlier || a.own && a.filling { // other attempts took the time, or the cache alone is closed
 		return
 	}
 	a.shared = !hit && !a.own && (late || o.Status == ServerError) && (a.filling || o.Note != NoNote) &&
@@ -93,8 +92,7 @@
 // slow answers would be asked for twice.
 func (d *Director) doubtful(r *request, a *attempt) bool {
 	return a.out && len(r.attempts) == 1 && d.set.SecondCopies && d.copies >= 1 && a.overtaken() &&
-		math.IsInf(min(a.to.held.most, d.fetches.most), 1) &&
-		(!a.filling || math.IsInf(a.source.held.most, 1))
+		math.IsInf(min(a.to.held.most, a.source.held.most, d.fetches.most), 1)
 }
 
 // slow names what an outcome's time speaks of: the cache if it answered by itself, else a part of the fill.
--- a/control/state.go
+++ b/control/state.go
@@ -110,6 +110,7 @@
 	start           time.Duration
 	attempts        []*attempt
 	tried           []*server // servers that failed it
+	blamed          []*server // those at fault unless the request is
 	streaming, over bool
 	again           bool // another attempt is wanted once those out have ended
 }
