--- a/internal/net/transport/tenants.go
+++ b/internal/net/transport/tenants.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 	"time"
 )
 
@@ -80,29 +79,28 @@
 }
 
 // MakeRoom closes so many idle connections, those first that have been idle longest. The time of one that has
-// asked at most once counts twice; one that has only just come is let speak first.
+// asked at most once counts twice; one that has only just come is let speak first. Each is looked for by itself:
+// it is hardly ever more than one, and sorting them all for each newcomer took a fifth of the program's time.
 func (t *Tenants) MakeRoom(now time.Time, places int) {
-	if places <= 0 {
-		return
-	}
-	type candidate struct {
-		n     *Tenant
-		quiet time.Duration
-	}
-	var l []candidate
-	for n := range t.all {
-		quiet := now.Sub(n.Active)
-		if !n.idle() || n.Asked == 0 && quiet < newcomer {
-			continue
+	for ; places > 0; places-- {
+		var longest *Tenant
+		most := time.Duration(-1)
+		for n := range t.all {
+			quiet := now.Sub(n.Active)
+			if n.Asked == 0 && quiet < newcomer {
+				continue
+			}
+			if n.Asked <= 1 {
+				quiet *= 2
+			}
+			if quiet > most && n.idle() {
+				longest, most = n, quiet
+			}
 		}
-		if n.Asked <= 1 {
-			quiet *= 2
+		if longest == nil {
+			return
 		}
-		l = append(l, candidate{n, quiet})
-	}
-	slices.SortFunc(l, func(a, b candidate) int { return int(b.quiet - a.quiet) })
-	for _, c := range l[:min(places, len(l))] {
-		t.Drop(c.n) // it is on its way out
-		c.n.Conn.Close(errors.New("its place is needed"))
+		t.Drop(longest) // it is on its way out
+		longest.Conn.Close(errors.New("its place is needed"))
 	}
 }
