--- a/cmd/larchusher-lab/up.go
+++ b/cmd/larchusher-lab/up.go
@@ -167,7 +167,7 @@
 	}
 	path := filepath.Join(filepath.Dir(self), "larchusher")
 	if _, err := os.Stat(path); err != nil {
-		return "", errors.Join(errors.New("build it first: go build -o bin/ ./cmd/..."), err)
+		return "", errors.Join(errors.New("build it first: CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/..."), err)
 	}
 	return path, nil
 }
--- a/test/rig_test.go
+++ b/test/rig_test.go
@@ -33,7 +33,12 @@
 		panic(err)
 	}
 	program = filepath.Join(dir, "larchusher")
-	if out, err := exec.Command("go", "build", "-o", program, "larchusher/cmd/larchusher").CombinedOutput(); err != nil {
+	line, err := buildLine()
+	if err != nil {
+		panic(err)
+	}
+	line = strings.NewReplacer("mkdir -p bin && ", "", "-o bin/", "-o "+program, "./cmd/...", "larchusher/cmd/larchusher").Replace(line)
+	if out, err := exec.Command("sh", "-c", line).CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "building: %v\n%s", err, out)
 		os.Exit(1)
 	}
