--- a/internal/net/transport/echo.go
+++ b/internal/net/transport/echo.go
@@ -1,49 +1,52 @@
 package transport
 
 import (
-	"errors"
+	"encoding/binary"
 	"net"
-	"os"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
 )
 
-// echo is a pair of sockets by which the program speaks to its own poller: what is written at one end is read at the
-// other once all connections have been read that were ready before.
+// echoWithin is how long the first echo may take, at the start; it guards against waiting for ever for a poller that
+// doesn't run.
+const echoWithin = 10 * time.Second
+
+// echo is an eventfd by which the program speaks to its own poller: once it was written to, the poller reads it after
+// all connections that were ready before. It is no socket: where only TCP and UDP are served, a pair of Unix sockets
+// has no name, and the start failed for that.
 type echo struct {
 	mu   sync.Mutex
-	nc   *nbio.Conn
-	end  int // descriptor that is written to
+	nc   *nbio.Conn // the poller's descriptor of it
+	fd   int        // the program's own
 	want []func()
 }
 
 func (e *echo) open(engine *nbio.Engine) error {
-	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
+	fd, err := unix.Eventfd(0, unix.EFD_CLOEXEC|unix.EFD_NONBLOCK)
 	if err != nil {
 		return err
 	}
-	f := os.NewFile(uintptr(pair[0]), "echo")
-	defer f.Close()
-	conn, err := net.FileConn(f)
-	if err != nil {
-		unix.Close(pair[1])
-		return err
-	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.end = pair[1]
-	if e.nc, err = nbio.NBConn(conn); err != nil {
-		unix.Close(pair[1])
-		return err
-	}
-	if _, err = engine.AddConn(e.nc); err != nil {
-		unix.Close(pair[1])
+	e.fd = fd
+	if e.nc, err = nbio.NBConn(descriptor{fd: fd}); err == nil {
+		_, err = engine.AddConn(e.nc)
 	}
 	return err
 }
 
+// close gives the descriptors back, once the engine has stopped. nbio closes only those that it knows as sockets.
+func (e *echo) close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = unix.Close(e.nc.Hash()) // that is the descriptor
+	_ = unix.Close(e.fd)
+}
+
 // Echo calls f on the poller, once it has read what had come on all connections by now. f must not block.
 func (e *Engine) Echo(f func()) {
 	e.echo.mu.Lock()
@@ -52,18 +55,16 @@
 	if len(e.echo.want) > 1 { // it has been written to
 		return
 	}
-	if _, err := unix.Write(e.echo.end, []byte{1}); err != nil && !errors.Is(err, unix.EAGAIN) {
+	if _, err := unix.Write(e.echo.fd, binary.NativeEndian.AppendUint64(nil, 1)); err != nil {
 		e.log.WithError(err).Warn("the echo cannot be written to")
 	}
 }
 
-// heard calls what was wanted, if the connection is the echo's.
-func (e *echo) heard(nc *nbio.Conn) {
+// heard calls what was wanted.
+func (e *echo) heard() {
 	e.mu.Lock()
-	if nc != e.nc {
-		e.mu.Unlock()
-		return
-	}
+	var count [8]byte
+	_, _ = unix.Read(e.fd, count[:]) // before what is wanted is taken: what comes later writes anew
 	want := e.want
 	e.want = nil
 	e.mu.Unlock()
@@ -72,6 +73,27 @@
 	}
 }
 
+// descriptor shows one to nbio as a connection, of which it takes a descriptor of its own. Nothing else is called.
+type descriptor struct {
+	net.Conn
+	fd int
+}
+
+func (d descriptor) SyscallConn() (syscall.RawConn, error) { return raw{fd: uintptr(d.fd)}, nil }
+func (descriptor) LocalAddr() net.Addr                     { return nil }
+func (descriptor) RemoteAddr() net.Addr                    { return nil }
+func (descriptor) Close() error                            { return nil }
+
+type raw struct {
+	syscall.RawConn
+	fd uintptr
+}
+
+func (r raw) Control(f func(fd uintptr)) error {
+	f(r.fd)
+	return nil
+}
+
 // boundUnsent bounds what the kernel takes of a connection's answers before they can be sent (TCP_NOTSENT_LOWAT, tcp(7)).
 // Guards against clients that do not read: the kernel's buffers count as the program's memory, and would hide them.
 func boundUnsent(conn net.Conn) {
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -18,6 +18,7 @@
 
 const (
 	readSize   = 64 << 10  // of the one buffer that all connections read into
+	readsMost  = 3         // times that one is read in a row, before the others have their turn
 	writeMost  = 10 << 20  // bytes that may wait to be written on one connection
 	joinedMost = 64 << 10  // pieces up to this size are joined into one write
 	unsentMost = 128 << 10 // bytes that the kernel takes ahead of what it sends, for a client
@@ -49,6 +50,7 @@
 	waiting atomic.Int64 // bytes that do
 	held    atomic.Int64 // memory that all connections hold, half of most at the most
 	echo    echo
+	buffer  []byte     // the poller's, for reading
 	handing sync.Mutex // held while a connection is made, and taken before its parts are read
 
 	Opened, Closed atomic.Uint64
@@ -59,20 +61,10 @@
 // New starts an engine with one poller. It lets so many bytes wait to be written.
 func New(log logrus.FieldLogger, most int) (*Engine, error) {
 	logging.DefaultLogger = quiet{log}
-	e := &Engine{log: log, most: int64(most)}
-	e.engine = nbio.NewEngine(nbio.Config{Name: "larchusher", NPoller: 1, ReadBufferSize: readSize,
+	e := &Engine{log: log, most: int64(most), buffer: make([]byte, readSize)}
+	e.engine = nbio.NewEngine(nbio.Config{Name: "larchusher", NPoller: 1, ReadBufferSize: 1,
 		MaxWriteBufferSize: min(writeMost, most)})
-	e.engine.OnData(func(nc *nbio.Conn, b []byte) {
-		c := e.of(nc)
-		if c == nil {
-			e.echo.heard(nc)
-			return
-		}
-		e.In.Add(uint64(len(b)))
-		if err := c.handler.OnBytes(c, b, time.Now()); err != nil {
-			_ = nc.CloseWithError(err)
-		}
-	})
+	e.engine.OnRead(e.read)
 	e.engine.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
 		e.Out.Add(uint64(n))
 		if c := e.of(nc); c != nil {
@@ -92,15 +84,56 @@
 	if err := e.engine.Start(); err != nil {
 		return nil, fmt.Errorf("starting the poller: %w", err)
 	}
+	// Not stopped where this fails: nbio's Stop waits for ever for a poller that has not begun to run.
 	if err := e.echo.open(e.engine); err != nil {
-		e.engine.Stop()
 		return nil, fmt.Errorf("opening the echo: %w", err)
 	}
+	runs := make(chan struct{})
+	e.Echo(func() { close(runs) })
+	late := time.NewTimer(echoWithin)
+	defer late.Stop()
+	select {
+	case <-runs:
+	case <-late.C:
+		return nil, fmt.Errorf("the poller has not answered in %v", echoWithin)
+	}
 	return e, nil
 }
 
 // Stop closes every connection.
-func (e *Engine) Stop() { e.engine.Stop() }
+func (e *Engine) Stop() {
+	e.engine.Stop()
+	e.echo.close()
+}
+
+// read takes in what has come on a connection, and hands it to its handler.
+func (e *Engine) read(nc *nbio.Conn) {
+	c := e.of(nc)
+	if c == nil {
+		e.echo.heard()
+		return
+	}
+	for range readsMost {
+		n, err := nc.Read(e.buffer)
+		if n > 0 {
+			e.In.Add(uint64(n))
+			if err := c.handler.OnBytes(c, e.buffer[:n], time.Now()); err != nil {
+				_ = nc.CloseWithError(err)
+				return
+			}
+		}
+		switch {
+		case errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.EAGAIN):
+			return
+		case err != nil:
+			_ = nc.CloseWithError(err)
+			return
+		case n < len(e.buffer): // that was all; at the end of the stream nbio closes
+			return
+		}
+	}
+}
 
 // Conn is one connection. Write and Close may be called from any goroutine.
 type Conn struct {
--- a/internal/net/transport/transport_test.go
+++ b/internal/net/transport/transport_test.go
@@ -3,6 +3,9 @@
 import (
 	"io"
 	"net"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -51,3 +54,51 @@
 		}
 	}
 }
+
+// descriptors are the program's, each with what it stands for.
+func descriptors(t *testing.T) map[string]string {
+	t.Helper()
+	all := map[string]string{}
+	names, err := filepath.Glob("/proc/self/fd/*")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names {
+		if what, err := os.Readlink(name); err == nil { // the folder's own has gone
+			all[filepath.Base(name)] = what
+		}
+	}
+	return all
+}
+
+// An engine with no connection holds no socket. It held a pair of Unix sockets, which have no name where only TCP and
+// UDP are served: New failed, and then waited for ever for a poller that had not begun to run. All it holds it gives
+// back, and stopping right after the start ends.
+func TestAnEngineStartsWithoutSocketsAndStopsAtOnce(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	start := func() *Engine {
+		e, err := New(log, 1<<20)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return e
+	}
+	start().Stop() // what the runtime opens once
+	before := descriptors(t)
+	for range 100 {
+		e := start()
+		for fd, what := range descriptors(t) {
+			if before[fd] == "" && strings.HasPrefix(what, "socket:") {
+				t.Fatalf("descriptor %s is a %s", fd, what)
+			}
+		}
+		heard := make(chan struct{})
+		e.Echo(func() { close(heard) })
+		<-heard
+		e.Stop()
+	}
+	if after := descriptors(t); len(after) != len(before) {
+		t.Errorf("descriptors before: %v, after: %v", before, after)
+	}
+}
