Lateness is judged by the size of what came, not by the class's mean

The platform tells no sizes with requests, and the guess is the class's mean: an answer of 0.4 s of sending has its aim 0.5 s later than the judgement thought. A gateway that sees ten requests a second weighs such an answer 0.3 (fewSeconds), which is past lateMany: one alone cut a limit from none to 0.7.

The class's mean converges as a mean does, no longer by a hundredth a sample.

--- a/control/api.go
+++ b/control/api.go
@@ -86,7 +86,7 @@
 	Classes     []Class
 	Tenants     []string
 	WeightsTold bool    // Member.Weight means something
-	FlowKBps    float64 // top pace of one answer
+	FlowKBps    float64 // top pace of one answer; 0: not told
 
 	Ask           bool // discovery answers only when asked (Watch, Fetch)
 	PassBy        bool // requests may go straight to a parent or the origin
@@ -244,6 +244,7 @@
 	Final    bool // the request is finished
 	Latency  time.Duration
 	FillWait time.Duration
+	SizeKB   float64   // of the answer; 0: not told
 	Load     []float64 // nil: no report came with it
 	Along    bool      // Reset by what befell another attempt on its connection
 }
--- a/control/control.go
+++ b/control/control.go
@@ -194,29 +194,6 @@
 	return e
 }
 
-// order is the entry's smoothed gap at any moment, but for a part that is the same for all.
-func (e *entry) order() time.Duration { return 3*e.avg - e.last }
-
-func (e *entry) current(now time.Duration) time.Duration { return (3*e.avg + now - e.last) / 4 }
-
-func (e *entry) listed() bool { return e.in != nil && e.in.boot == e.inBoot }
-
-// unlist takes an entry off its list; relist puts it where its gap belongs, the worst first.
-func (e *entry) unlist() {
-	if e.listed() {
-		i := slices.Index(e.in.list, e)
-		e.in.list = slices.Delete(e.in.list, i, i+1)
-	}
-	e.in = nil
-}
-
-func (e *entry) relist(s *server) {
-	worse := func(a, b *entry) int { return cmp.Compare(b.order(), a.order()) }
-	i, _ := slices.BinarySearchFunc(s.list, e, worse)
-	s.list = slices.Insert(s.list, i, e)
-	e.in, e.inBoot = s, s.boot
-}
-
 // enlist puts an entry on a cache's list and returns the rank at which the fill is kept: the middle one
 // until the list is full, then the top one if it passes the halving test against the worst, else the lowest.
 func (d *Director) enlist(e *entry, s *server, detour bool) int {
@@ -561,6 +538,9 @@
 	if hit && a.source != a.to {
 		a.source.budget += d.cost(r) // it was not asked
 	}
+	if o.SizeKB > 0 && d.set.FlowKBps > 0 { // now it is known how long the answer had to take
+		d.sized(r, o.SizeKB)
+	}
 	a.ran = !slices.Contains([]Status{TurnedAway, NotConnected, NotSent, Miss}, o.Status)
 	d.limit(r, a, o, hit)
 	switch o.Status {
@@ -738,18 +718,6 @@
 
 func (d *Director) cost(r *request) float64 { return r.class.work.Seconds() }
 
-// recent is the work a second that a server has done for us lately. Only what it answered counts: what was
-// sent may be more than it can do.
-func (s *server) recent(now time.Duration) float64 {
-	s.rate *= math.Exp(-float64(now-s.rateAt) / float64(rateWindow))
-	s.rateAt = now
-	return s.rate
-}
-
-func (s *server) carry(now time.Duration, work float64) {
-	s.rate = s.recent(now) + work/rateWindow.Seconds()
-}
-
 // Recheck says whether an attempt that waited, for its connection say, may still be written at the given
 // time, and with which age limit: its store or source may drain by now, or its object may have been purged.
 func (d *Director) Recheck(now time.Duration, id string, number int) (maxAge time.Duration, ok bool) {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -1023,3 +1024,34 @@
 			Latency: 20 * ms})
 	}
 }
+
+// Sizes come with answers only: a large one that took as long as its bytes have to take isn't late, whatever its class's
+// mean. Gateways of a fleet that see a few requests a second cut their limits for each such answer, and refused.
+func TestALargeAnswerIsNotLate(t *testing.T) {
+	for name, long := range map[string]time.Duration{"in time": 950 * ms, "late": 1900 * ms} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, nil)
+			r.kb = 0
+			one := func(object string, latency time.Duration, kb float64) {
+				id, a := r.ask("film", object)
+				if a == nil {
+					return
+				}
+				r.after(latency).do(Outcome{ID: id, Server: a.Server, Status: OK, Note: NoteHit, Final: true, Latency: latency, SizeKB: kb})
+			}
+			for i := range 60 {
+				one(fmt.Sprint("small", i), 25*ms, 100)
+			}
+			for i := range 10 { // 0.75 s of sending: the aim is 0.6 s and 1.6 times that
+				one(fmt.Sprint("large", i), long, 3000)
+			}
+			cut := slices.ContainsFunc(r.d.inUse[cache], func(s *server) bool { return !math.IsInf(s.held.most, 1) })
+			if cut != (name == "late") {
+				t.Errorf("limits cut: %v", cut)
+			}
+			if got := r.d.classes["film"].work; got < 30*ms || got > 200*ms { // the mean of all is 129 ms
+				t.Errorf("mean sending time of the class %v", got)
+			}
+		})
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -35,7 +35,8 @@
 
 type class struct {
 	Class
-	work time.Duration // mean sending time seen
+	work  time.Duration // mean sending time seen
+	sized int           // answers whose size was told
 }
 
 type role int
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -268,6 +268,7 @@
 	if r.out--; r.out == 0 {
 		delete(g.over, r.id)
 	}
+	size := float64(len(res.Body)) / 1000
 	if res.Status == control.OK && !r.answered {
 		ans := Answer{Outcome: Served, Body: res.Body, Tag: res.Tag}
 		if res.Unchanged {
@@ -298,7 +299,7 @@
 	g.seen(a, res)
 	g.handle(event{where: a.where, Event: control.Outcome{ID: r.id, Attempt: a.number, Server: a.Server, Status: res.Status,
 		Note: res.Note, Final: r.answered, Latency: max(0, res.At.Sub(a.sent)-(g.lost-a.lost)), Load: res.Load,
-		Along: res.Along}})
+		Along: res.Along, SizeKB: size}})
 }
 
 // cancel stops waiting for an attempt and says how it ended.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -68,16 +68,18 @@
 
 // Gateway is the configuration of one gateway.
 type Gateway struct {
-	Name       string          `json:"name"`
-	Listen     string          `json:"listen"`
-	SeedText   string          `json:"seed"`
-	Limits     Limits          `json:"limits"`
-	PeerListen string          `json:"peer_listen"`
-	Peers      []string        `json:"peers"`
-	PeersAll   string          `json:"peers_all"`
-	Journal    string          `json:"journal"`
-	Known      journal.Known   `json:"known"`
-	Raw        json.RawMessage `json:"settings"`
+	Name       string        `json:"name"`
+	Listen     string        `json:"listen"`
+	SeedText   string        `json:"seed"`
+	Limits     Limits        `json:"limits"`
+	PeerListen string        `json:"peer_listen"`
+	Peers      []string      `json:"peers"`
+	PeersAll   string        `json:"peers_all"`
+	Journal    string        `json:"journal"`
+	Known      journal.Known `json:"known"`
+	// Top pace of one answer in bytes a second, as it holds on these sockets; 0: settings.familyInfo.streamKbPerS.
+	FlowBytesPerS float64         `json:"flow_bytes_per_s"`
+	Raw           json.RawMessage `json:"settings"`
 
 	Seed     uint64           `json:"-"`
 	Settings control.Settings `json:"-"`
@@ -142,7 +144,12 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	c.Raw = nil
+	if c.FlowBytesPerS > 0 {
+		c.Settings.FlowKBps = c.FlowBytesPerS / 1000
+	}
 	switch {
+	case c.FlowBytesPerS < 0:
+		return nil, errors.New("flow_bytes_per_s: negative")
 	case c.Limits.Cores < 0:
 		return nil, errors.New("limits.cores: negative")
 	case c.Limits.MemoryMB < 0:
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -79,3 +79,21 @@
 		t.Errorf("the example says it has the defaults: %+v", example.Overload)
 	}
 }
+
+// What the platform says of the pace on its sockets goes before what the settings say, and must make sense.
+func TestThePaceOfAnAnswer(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/example.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for flow, want := range map[string]float64{"": 7200, `"flow_bytes_per_s":310000,`: 310, `"flow_bytes_per_s":-1,`: 0} {
+		c, err := Parse([]byte("{"+flow+strings.TrimPrefix(string(text), "{")), "", "")
+		if want == 0 {
+			if err == nil || !strings.Contains(err.Error(), "flow_bytes_per_s") {
+				t.Errorf("%s: %v", flow, err)
+			}
+		} else if err != nil || c.Settings.FlowKBps != want {
+			t.Errorf("%s: %v, want a pace of %v KB/s", flow, err, want)
+		}
+	}
+}
