A failing store is known though no further attempt is to hand

Cause: an error with no told cause is booked on its store only once another attempt of the request has succeeded (learn, blamed), since the request may be at fault; the errors took all saved attempts (spare), so no second attempt came, so the parent was not left: 118 ejections over 80 gateways in 11 s.

Change: such errors are weighed at once against those of the store's like. A request at fault fails wherever it is sent, an ill store fails alone: 1.6 times its role's share, and over the share that ejects, takes it out of use. A miss of another store shows that a request is well formed, too. Ruled out: half weight for each such error at once (a client's unusable requests ejected parents; the test for those caught it, as it did a comparison over all roles).

Test: 80 attempts at such a parent in four seconds, at most 20 now.

--- a/control/control.go
+++ b/control/control.go
@@ -32,6 +32,7 @@
 	copyEarned  = 10  // second copies earned by one answer that never came; twice that can be saved up
 	failMany    = 0.4 // share of recent attempts failing that ejects a server
 	failWeight  = 0.2 // weight of the newest in it: three failures in a row eject
+	suspectMost = 1.6 // errors of no told cause eject a server that has this many times the share that its like have
 	silentLeast = 3   // answers overdue, with none in between, that eject a server
 	inUseLeast  = 0.5 // share of the caches here, or of the parents, that stays in use whatever their health
 	lateMany    = 0.2 // where this share of answers is late, a late one cuts the limit to the rest
@@ -546,11 +547,8 @@
 	switch o.Status {
 	case OK:
 		d.spare = min(retryMost, d.spare+retryEarned)
-		for _, s := range r.blamed {
-			d.failed(s, false)
-		}
-		r.blamed = nil
-		a.to.good(d.now)
+		d.land(r)
+		d.good(a.to)
 		a.to.passed = max(a.to.passed, a.sent)
 		a.to.carry(d.now, d.cost(r))
 		d.gauge(a.to.role)
@@ -558,7 +556,7 @@
 			if o.Note != NoteJoined {
 				a.source.carry(d.now, d.cost(r))
 			}
-			a.source.good(d.now)
+			d.good(a.source)
 			a.source.passed = max(a.source.passed, a.sent)
 			a.source.quick += time.Duration(smooth * float64(max(0, o.Latency-r.work)-a.source.quick))
 			a.source.quickAt = d.now
@@ -575,12 +573,14 @@
 		case o.Note == NoteNoPlace || o.Along || bad.role == parent && a.shared:
 		case o.Status == ServerError && o.Note == NoNote: // or the request is at fault: the next one tells
 			r.blamed = append(r.blamed, bad)
+			d.suspect(bad)
 		default:
 			d.failed(bad, false)
 		}
 	case Miss:
+		d.land(r)
 		if a.onlyHeld {
-			a.source.good(d.now)
+			d.good(a.source)
 		}
 	}
 	e := r.entry
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -654,12 +654,12 @@
 		r.d.failed(s, false)
 		r.after(10 * ms)
 	}
-	s.good(r.now)
+	r.d.good(s)
 	if r.d.healthy(s) {
 		t.Error("one success after eight failures cleared it")
 	}
 	for range 4 {
-		s.good(r.now)
+		r.d.good(s)
 	}
 	if !r.d.healthy(s) {
 		t.Error("still out after five successes")
@@ -1055,3 +1055,34 @@
 		})
 	}
 }
+
+// zone+vast: one of three parents failed all its fills. Its errors took the further attempts of all requests, so that no
+// second one came to show who was at fault, and 80 gateways went on asking it for eleven seconds: 2,500 errors.
+func TestAFailingParentIsLeftThoughNoFurtherAttemptIsToHand(t *testing.T) {
+	r := newRig(t, func(s *Settings) { s.Tells = TellsHit })
+	more := Member{ID: "p3", Zone: "hub", Kind: "parent", Cell: 4}
+	r.do(Members{Kind: Changes, Entries: []Member{more}})
+	r.d.spare = 0
+	errors := 0
+	for i := range 200 {
+		id, a := r.ask("film", fmt.Sprint("o", i))
+		if a == nil {
+			continue
+		}
+		r.d.spare = 0 // what others left
+		o := Outcome{ID: id, Server: a.Server, Status: OK, Note: NoteFilled, Final: true, Latency: 60 * ms}
+		if a.Source == "p1" {
+			errors++
+			o = Outcome{ID: id, Server: a.Server, Status: ServerError, Latency: 10 * ms}
+		}
+		r.after(20 * ms).do(o)
+	}
+	if errors > 20 { // until it is known, and one for each time that it is tried again
+		t.Errorf("the failing parent was asked %d times in four seconds", errors)
+	}
+	for _, s := range r.d.servers {
+		if s.role != parent && s.penalty > 0 {
+			t.Errorf("%s was taken out of use for the parent's errors", s.id)
+		}
+	}
+}
--- a/control/health.go
+++ b/control/health.go
@@ -7,8 +7,10 @@
 	"time"
 )
 
-func (s *server) good(now time.Duration) {
-	s.lastOK, s.overdue = now, 0
+func (d *Director) good(s *server) {
+	s.lastOK, s.overdue = d.now, 0
+	d.doubt[s.role] -= failWeight * d.doubt[s.role]
+	s.doubt -= failWeight * s.doubt
 	if s.failing -= failWeight * s.failing; s.failing < failMany {
 		s.penalty = 0
 	}
@@ -24,6 +26,25 @@
 	s.ejected = d.now + s.penalty
 }
 
+// land books a request's errors on their servers, once another has shown by its answer that the request was well formed.
+func (d *Director) land(r *request) {
+	for _, s := range r.blamed {
+		d.failed(s, false)
+	}
+	r.blamed = nil
+}
+
+// suspect weighs an error that may be its request's fault. Requests at fault fail wherever they are sent: a server with far
+// more such errors than all of its role have is ill. Guards against a store that drains all further attempts by its errors, so that
+// none is left whose success would show who was at fault.
+func (d *Director) suspect(s *server) {
+	s.doubt += failWeight * (1 - s.doubt)
+	d.doubt[s.role] += failWeight * (1 - d.doubt[s.role])
+	if s.doubt >= failMany && s.doubt >= suspectMost*d.doubt[s.role] {
+		d.failed(s, true)
+	}
+}
+
 // lately is the wait for fills from s, which halves with each rateWindow in which none was seen.
 func (s *server) lately(now time.Duration) float64 {
 	return float64(s.quick) * math.Exp2(-float64(now-s.quickAt)/float64(rateWindow))
--- a/control/state.go
+++ b/control/state.go
@@ -24,6 +24,7 @@
 	tokens   map[uint64]*request // by the token of their timers
 	token    uint64
 	spare    float64                  // further attempts that recent success has earned
+	doubt    [3]float64               // by role, share of recent attempts that ended in an error of no told cause
 	copies   float64                  // second copies that lost answers have earned
 	purged   map[string]time.Duration // when objects and groups were purged
 	carried  [3]float64               // by role, work a second for each weight that warm ones carried for us
@@ -71,6 +72,7 @@
 	overdue        int           // answers that were due since then
 	passed         time.Duration // latest sending that it answered well, by itself or as a source
 	failing        float64       // share of recent attempts that failed
+	doubt          float64       // and that ended in an error of no told cause
 	ejected        time.Duration // out of use until then
 	penalty        time.Duration // length of the latest ejection
 	trial          bool          // back from ejection, with one attempt out to try it
