--- a/control/control.go
+++ b/control/control.go
@@ -32,7 +32,7 @@
 	copyEarned  = 10  // second copies earned by one answer that never came; twice that can be saved up
 	failMany    = 0.4 // share of recent attempts failing that ejects a server
 	failWeight  = 0.2 // weight of the newest in it: three failures in a row eject
-	suspectMost = 1.6 // errors of no told cause eject a server that has this many times the share that its like have
+	suspectMost = 1.6 // times the share of untold errors of its like that ejects a server
 	silentLeast = 3   // answers overdue, with none in between, that eject a server
 	inUseLeast  = 0.5 // share of the caches here, or of the parents, that stays in use whatever their health
 	lateMany    = 0.2 // where this share of answers is late, a late one cuts the limit to the rest
--- a/control/health.go
+++ b/control/health.go
@@ -26,7 +26,8 @@
 	s.ejected = d.now + s.penalty
 }
 
-// land books a request's errors on their servers, once another has shown by its answer that the request was well formed.
+// land books a request's errors on their servers, once another has shown by its answer that the request was
+// well formed.
 func (d *Director) land(r *request) {
 	for _, s := range r.blamed {
 		d.failed(s, false)
@@ -34,9 +35,9 @@
 	r.blamed = nil
 }
 
-// suspect weighs an error that may be its request's fault. Requests at fault fail wherever they are sent: a server with far
-// more such errors than all of its role have is ill. Guards against a store that drains all further attempts by its errors, so that
-// none is left whose success would show who was at fault.
+// suspect weighs an error that may be its request's fault. Requests at fault fail wherever they are sent: a
+// server with far more such errors than all of its role have is ill. Guards against a store whose errors take
+// all further attempts, so that none is left whose success would show who was at fault.
 func (d *Director) suspect(s *server) {
 	s.doubt += failWeight * (1 - s.doubt)
 	d.doubt[s.role] += failWeight * (1 - d.doubt[s.role])
