Caches that report being full beside idle neighbours are relieved; purges in a package

The lines at fault: pickCache gives the listed cache or the hash home whatever the load; Outcome.Load was read nowhere.

Changed: package balance keeps a mean of the reported share in use (util, or requests held over the weight where only that is told) and says by how much one store is busier than another; pickCache moves a part of the requests on in proportion. The listing moves with the object.

--- a/control/control.go
+++ b/control/control.go
@@ -9,8 +9,10 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"time"
+
+	"larchusher/balance"
+	"larchusher/purges"
 )
 
 const (
@@ -60,7 +62,7 @@
 	d := &Director{set: s, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		classes: map[string]*class{}, servers: map[string]*server{},
 		table: map[uint64]*entry{}, requests: map[string]*request{}, tokens: map[uint64]*request{},
-		purged: map[string]time.Duration{}, spare: retryMost, fetches: gauge{most: math.Inf(1)},
+		purged: purges.New(s.PurgeSettles), loads: balance.Find(s.LoadFields), spare: retryMost, fetches: gauge{most: math.Inf(1)},
 		neighbor: map[int]bool{}, used: list.New()}
 	d.zone = slices.Index(s.Zones, s.Zone)
 	if err := s.check(); err != nil {
@@ -87,7 +89,7 @@
 	case Outcome:
 		d.outcome(ev)
 	case Purge:
-		d.purge(ev)
+		d.purged.Told(d.now, ev.Object, ev.Group, d.now-ev.Ago)
 	case Peer:
 		d.hint(ev)
 	case Gone:
@@ -257,13 +259,13 @@
 		l := slices.Clone(d.inUse[cache])
 		l = slices.DeleteFunc(l, func(s *server) bool { return s == e.at || !ok(s) })
 		if len(r.tried) > 0 || len(l) == 0 || d.rng.Float64() < stability {
-			return e.at, false
+			return d.relieve(e.at, l, true), false
 		}
 		return l[d.rng.IntN(len(l))], true
 	}
 	for _, s := range d.homes(r.key, d.inUse[cache]) {
 		if ok(s) && (!relief || s != e.at && d.room(&s.held, r)) {
-			return s, false
+			return d.relieve(s, slices.DeleteFunc(slices.Clone(d.inUse[cache]), func(s *server) bool { return !ok(s) }), false), false
 		}
 	}
 	if relief {
@@ -272,6 +274,21 @@
 	return nil, false
 }
 
+// relieve gives the least busy of others in place of a cache that is crowded beside it. What is listed moves with it,
+// so that few are moved at a time. Guards against popular objects that met at one cache by their hashes.
+func (d *Director) relieve(s *server, others []*server, held bool) *server {
+	best, gap := s, 0.0
+	for _, o := range others {
+		if warm, _ := d.coldShare(o); warm >= 1 && balance.Gap(d.now, &s.load, &o.load) > gap {
+			best, gap = o, balance.Gap(d.now, &s.load, &o.load)
+		}
+	}
+	if gap > 0 && d.rng.Float64() >= balance.Chance(gap, held) {
+		return s
+	}
+	return best
+}
+
 // pickSource chooses who fills a miss: of the object's first two usable parents the quicker one, else the
 // origin. Quicker by less than a multiple is a tie, which the shared order decides: two directors that differ
 // in it would have both parents fetch and keep the object. A wait that was not seen for long is forgotten.
@@ -502,6 +519,9 @@
 	a.out = false
 	a.to.trial = a.to.trial && !a.trial
 	d.count(a, -1)
+	if share, ok := d.loads.Busy(o.Load, a.to.slots(d.set.WeightsTold)); ok {
+		a.to.load.Report(d.now, share)
+	}
 	d.learn(r, a, o)
 	switch {
 	case r.over || o.Final:
@@ -629,27 +649,10 @@
 		(r.class.Scope != ScopeCell || s.cell == first.to.cell)
 }
 
-// purge remembers a purge until no older copy can be left.
-func (d *Director) purge(p Purge) {
-	if p.Object == "" {
-		p.Object = groupName(p.Group)
-	}
-	if at, ok := d.purged[p.Object]; !ok || d.now-p.Ago > at {
-		d.purged[p.Object] = d.now - p.Ago
-	}
-	maps.DeleteFunc(d.purged, func(_ string, at time.Duration) bool { return d.now-at > d.set.PurgeSettles })
-}
-
-// groupName cannot be an object's name, as those have no spaces.
-func groupName(group int) string { return " " + strconv.Itoa(group) }
-
 // maxAge is the age limit that keeps an answer younger than the latest live purge; 0 if there is none.
 func (d *Director) maxAge(r *request) time.Duration {
-	at, ok := d.purged[r.Object]
-	if g, all := d.purged[groupName(r.Group)]; all && (!ok || g > at) {
-		at, ok = g, true
-	}
-	if !ok || d.now-at > d.set.PurgeSettles {
+	at, ok := d.purged.Latest(d.now, r.Object, r.Group)
+	if !ok {
 		return 0
 	}
 	age := max(time.Millisecond, d.now-at-time.Millisecond)
--- a/control/memory.go
+++ b/control/memory.go
@@ -95,10 +95,9 @@
 		m.Servers = append(m.Servers, h)
 	}
 	slices.SortFunc(m.Servers, func(a, b Health) int { return cmp.Compare(a.Server, b.Server) })
-	for name, at := range d.purged {
+	for name, at := range d.purged.All() {
 		m.Purges = append(m.Purges, Purged{name, at})
 	}
-	slices.SortFunc(m.Purges, func(a, b Purged) int { return cmp.Compare(a.Name, b.Name) })
 	return m
 }
 
@@ -166,8 +165,7 @@
 	for _, p := range m.Purges {
 		if age := now - p.At; p.Name == "" || age < 0 || age > d.set.PurgeSettles {
 			u.Aged++
-		} else if at, ok := d.purged[p.Name]; !ok || p.At > at {
-			d.purged[p.Name] = p.At
+		} else if d.purged.Merge(now, p.Name, p.At) {
 			u.Purges++
 		}
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -4,6 +4,9 @@
 	"container/list"
 	"math/rand/v2"
 	"time"
+
+	"larchusher/balance"
+	"larchusher/purges"
 )
 
 // What a director keeps in mind. This file holds types only: control.go decides.
@@ -23,15 +26,16 @@
 	requests map[string]*request
 	tokens   map[uint64]*request // by the token of their timers
 	token    uint64
-	spare    float64                  // further attempts that recent success has earned
-	doubt    [3]float64               // by role, share of recent attempts that ended in an error of no told cause
-	copies   float64                  // second copies that lost answers have earned
-	purged   map[string]time.Duration // when objects and groups were purged
-	carried  [3]float64               // by role, work a second for each weight that warm ones carried for us
-	fetches  gauge                    // fills that may go through to the origin
-	lateBy   *server                  // parent of the latest late fill
-	moves    []*entry                 // still to be told
-	neighbor map[int]bool             // directors known to serve this location
+	spare    float64    // further attempts that recent success has earned
+	doubt    [3]float64 // by role, share of recent attempts that ended in an error of no told cause
+	copies   float64    // second copies that lost answers have earned
+	purged   *purges.Book
+	loads    balance.Fields
+	carried  [3]float64   // by role, work a second for each weight that warm ones carried for us
+	fetches  gauge        // fills that may go through to the origin
+	lateBy   *server      // parent of the latest late fill
+	moves    []*entry     // still to be told
+	neighbor map[int]bool // directors known to serve this location
 }
 
 type class struct {
@@ -84,9 +88,18 @@
 	rateAt         time.Duration
 	budget         float64 // cold: work in seconds that may be sent now
 	budgetAt       time.Duration
+	load           balance.Load
 	list           []*entry // the objects listed here, the worst first
 }
 
+// slots is how many transfers a server's link bears; 0: not told.
+func (s *server) slots(told bool) float64 {
+	if !told {
+		return 0
+	}
+	return s.weight
+}
+
 // entry is a row of the mapping table: one part of one object.
 type entry struct {
 	key       uint64
--- /dev/null
+++ b/purges/purges.go
@@ -0,0 +1,66 @@
+// Package purges keeps the purges that were heard of until no copy older than they can be left anywhere. It does no I/O and
+// reads no clock. The newest purge of a name wins, so that the order in which they are heard, and hearing one twice, make
+// no difference.
+package purges
+
+import (
+	"iter"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Book is what has been heard. Use New. It holds as many purges as were made within the time in which copies go by
+// themselves.
+type Book struct {
+	settles time.Duration
+	at      map[string]time.Duration
+}
+
+// New returns an empty book. Within settles of a purge all older copies have gone by themselves.
+func New(settles time.Duration) *Book {
+	return &Book{settles: settles, at: map[string]time.Duration{}}
+}
+
+// Group is the name of all objects of a group. It cannot be an object's, as those have no spaces.
+func Group(number int) string { return " " + strconv.Itoa(number) }
+
+// Told takes a purge in, of an object or, with no object, of a group, that was made at a time. It says whether that is
+// news: what is settled, or was heard, is not.
+func (b *Book) Told(now time.Duration, object string, group int, at time.Duration) bool {
+	if object == "" {
+		object = Group(group)
+	}
+	return b.Merge(now, object, at)
+}
+
+// Merge is Told for a name, as All gives them.
+func (b *Book) Merge(now time.Duration, name string, at time.Duration) bool {
+	maps.DeleteFunc(b.at, func(_ string, at time.Duration) bool { return now-at > b.settles })
+	if old, ok := b.at[name]; name == "" || ok && old >= at || now-at > b.settles {
+		return false
+	}
+	b.at[name] = at
+	return true
+}
+
+// Latest is when an object was last purged, by itself or with its group; false if no older copy can be left.
+func (b *Book) Latest(now time.Duration, object string, group int) (time.Duration, bool) {
+	at, ok := b.at[object]
+	if g, all := b.at[Group(group)]; all && (!ok || g > at) {
+		at, ok = g, true
+	}
+	return at, ok && now-at <= b.settles
+}
+
+// All gives the names and times, in order of name.
+func (b *Book) All() iter.Seq2[string, time.Duration] {
+	return func(yield func(string, time.Duration) bool) {
+		for _, name := range slices.Sorted(maps.Keys(b.at)) {
+			if !yield(name, b.at[name]) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/purges/purges_test.go
@@ -0,0 +1,65 @@
+package purges
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const settles = 6 * time.Second
+
+// In whatever order, and however often, purges are heard: the newest of each name counts, until it has settled.
+func TestNewestPurgeWinsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type told struct {
+			object string
+			group  int
+			at     time.Duration
+		}
+		draw := rapid.Custom(func(t *rapid.T) told {
+			return told{rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "object"), rapid.IntRange(0, 1).Draw(t, "group"),
+				time.Duration(rapid.IntRange(0, 9000).Draw(t, "at")) * time.Millisecond}
+		})
+		all := rapid.SliceOf(draw).Draw(t, "told")
+		now := 9 * time.Second
+		one, other := New(settles), New(settles)
+		for _, p := range all {
+			one.Told(now, p.object, p.group, p.at)
+		}
+		for _, p := range rapid.Permutation(append(all, all...)).Draw(t, "again") {
+			other.Told(now, p.object, p.group, p.at)
+		}
+		if a, b := maps.Collect(one.All()), maps.Collect(other.All()); !maps.Equal(a, b) {
+			t.Fatalf("%v and %v", a, b)
+		}
+		for _, object := range []string{"a", "b"} {
+			for group := range 2 {
+				want, known := time.Duration(0), false
+				for _, p := range all {
+					if (p.object == object || p.object == "" && p.group == group) && now-p.at <= settles && (!known || p.at > want) {
+						want, known = p.at, true
+					}
+				}
+				if at, ok := one.Latest(now, object, group); ok != known || ok && at != want {
+					t.Fatalf("%s of %d: %v %v, want %v %v", object, group, at, ok, want, known)
+				}
+			}
+		}
+	})
+}
+
+func TestSettledPurgesAreForgotten(t *testing.T) {
+	b := New(settles)
+	if !b.Told(time.Second, "a", 0, time.Second) || b.Told(time.Second, "a", 0, 0) || b.Merge(time.Second, "", time.Second) {
+		t.Error("the first is news, an older one and one of nothing are not")
+	}
+	if _, ok := b.Latest(8*time.Second, "a", 0); ok {
+		t.Error("a settled purge still counts")
+	}
+	b.Told(8*time.Second, "c", 0, 8*time.Second)
+	if n := len(maps.Collect(b.All())); n != 1 {
+		t.Errorf("%d purges kept, want the one that has not settled", n)
+	}
+}
