--- a/control/control.go
+++ b/control/control.go
@@ -62,8 +62,8 @@
 	d := &Director{set: s, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		classes: map[string]*class{}, servers: map[string]*server{},
 		table: map[uint64]*entry{}, requests: map[string]*request{}, tokens: map[uint64]*request{},
-		purged: purges.New(s.PurgeSettles), loads: balance.Find(s.LoadFields), spare: retryMost, fetches: gauge{most: math.Inf(1)},
-		neighbor: map[int]bool{}, used: list.New()}
+		purged: purges.New(s.PurgeSettles), loads: balance.Find(s.LoadFields), spare: retryMost,
+		fetches: gauge{most: math.Inf(1)}, neighbor: map[int]bool{}, used: list.New()}
 	d.zone = slices.Index(s.Zones, s.Zone)
 	if err := s.check(); err != nil {
 		return nil, err
@@ -263,9 +263,10 @@
 		}
 		return l[d.rng.IntN(len(l))], true
 	}
-	for _, s := range d.homes(r.key, d.inUse[cache]) {
-		if ok(s) && (!relief || s != e.at && d.room(&s.held, r)) {
-			return d.relieve(s, slices.DeleteFunc(slices.Clone(d.inUse[cache]), func(s *server) bool { return !ok(s) }), false), false
+	homes := slices.DeleteFunc(d.homes(r.key, d.inUse[cache]), func(s *server) bool { return !ok(s) })
+	for _, s := range homes {
+		if !relief || s != e.at && d.room(&s.held, r) {
+			return d.relieve(s, homes, false), false
 		}
 	}
 	if relief {
@@ -274,8 +275,8 @@
 	return nil, false
 }
 
-// relieve gives the least busy of others in place of a cache that is crowded beside it. What is listed moves with it,
-// so that few are moved at a time. Guards against popular objects that met at one cache by their hashes.
+// relieve gives the least busy of others in place of a cache that is crowded beside it. What is listed moves
+// along, so few are moved at a time. Guards against popular objects that met at one cache by their hashes.
 func (d *Director) relieve(s *server, others []*server, held bool) *server {
 	best, gap := s, 0.0
 	for _, o := range others {
--- a/control/deployments_test.go
+++ b/control/deployments_test.go
@@ -76,7 +76,7 @@
 	if _, a := r.ask("film", "a"); a == nil || a.MaxAge <= 0 || a.MaxAge >= time.Second {
 		t.Errorf("a second after a purge: %+v", a)
 	}
-	if _, a := r.after(6 * time.Second).ask("film", "a"); a == nil || a.MaxAge != 0 {
+	if _, a := r.after(6*time.Second).ask("film", "a"); a == nil || a.MaxAge != 0 {
 		t.Errorf("after it has settled: %+v", a)
 	}
 }
