--- a/cmd/larchusher/serve.go
+++ b/cmd/larchusher/serve.go
@@ -90,6 +90,9 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 
 	p := &program{log: log.WithField("gateway", cfg.Name), loop: gateway.NewLoop(), cfg: cfg, op: op, file: s.Operator}
+	for _, n := range cfg.Notes {
+		p.log.Warn(n)
+	}
 	if p.engine, err = transport.New(p.log, cfg.Limits.MemoryMB<<20/4); err != nil {
 		return err
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -382,10 +382,18 @@
 	s.PeerMessages = rng.IntN(2) == 0
 	s.RetryAdvice = rng.IntN(2) == 0
 	s.Ask = rng.IntN(3) == 0
+	s.Joins, s.Probes, s.WeightsTold = rng.IntN(2) == 0, rng.IntN(2) == 0, rng.IntN(2) == 0
+	s.LoadFields = [][]string{nil, {"cpu_share", "x1", "x0"}, {"busy_reqs"}, {"x0"}}[rng.IntN(4)]
 	if rng.IntN(4) == 0 {
 		s.ParentKind = -1
 	}
+	if rng.IntN(4) == 0 {
+		s.ZonePeers, s.FlowKBps, s.PurgeGrace = nil, 0, 0
+	}
 	list := members()
+	for i := range list {
+		list[i].Weight = float64(rng.IntN(10))
+	}
 	if s.ParentKind < 0 {
 		list = slices.DeleteFunc(list, func(m Member) bool { return m.Kind == "parent" })
 	}
@@ -489,7 +497,7 @@
 			st.over = true
 		}
 		return handle(Outcome{ID: id, Attempt: i, Server: b.server, Status: status, Note: Note(rng.IntN(11)),
-			Final: st.over, Latency: now - b.at})
+			Final: st.over, Latency: now - b.at, Load: []float64{2 * rng.Float64(), math.NaN(), -1}[:rng.IntN(4)]})
 	}
 	for n := range 3000 {
 		now += time.Duration(rng.IntN(20)) * ms
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -84,6 +84,9 @@
 	// ToldKB is what a KB of a size that clients tell, in the settings' measure, counts for on these sockets.
 	ToldKB float64 `json:"-"`
 
+	// Notes are what was put right while reading, to be logged.
+	Notes []string `json:"-"`
+
 	Seed     uint64           `json:"-"`
 	Settings control.Settings `json:"-"`
 	Sockets  wire.Sockets     `json:"-"`
@@ -147,6 +150,9 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	c.Raw = nil
+	if err := c.directors(); err != nil {
+		return nil, err
+	}
 	c.ToldKB = 1
 	if c.FlowBytesPerS > 0 {
 		if c.Settings.FlowKBps > 0 {
@@ -176,6 +182,30 @@
 	return &c, nil
 }
 
+// directors checks the number of gateways. Shares of budgets are reckoned by it: where it disagrees with the list of
+// peers, or is missing, the larger one holds, so that all together spend no more than is allowed.
+func (c *Gateway) directors() error {
+	s := &c.Settings
+	n := max(1, len(c.Peers), s.Me+1)
+	switch {
+	case s.Directors < 0:
+		return fmt.Errorf("settings.balancers: %d is negative", s.Directors)
+	case s.Me < 0:
+		return fmt.Errorf("settings.position: %d is negative", s.Me)
+	case s.Directors < n:
+		c.Notes = append(c.Notes, fmt.Sprintf("settings.balancers is %d: %d is taken, by peers and position", s.Directors, n))
+		s.Directors = n
+	case len(c.Peers) > 0 && len(c.Peers) != s.Directors:
+		c.Notes = append(c.Notes, fmt.Sprintf("settings.balancers is %d, peers names %d: the former is taken", s.Directors, len(c.Peers)))
+	}
+	for i, p := range s.ZonePeers {
+		if p < 0 {
+			return fmt.Errorf("settings.familyInfo.countByZone[%d]: %d is negative", i, p)
+		}
+	}
+	return nil
+}
+
 // Fixed names the keys in which a newer configuration differs that are taken in at the start only. Of the rest,
 // the journal's address may change at any time, and what is known is told anew by the journal.
 func (c *Gateway) Fixed(newer *Gateway) (keys []string) {
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"encoding/json"
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -97,3 +99,44 @@
 		}
 	}
 }
+
+// The number of gateways is a divisor of every budget that they share.
+func TestTheNumberOfGateways(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/example.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		balancers, position, peers int
+		want                       int
+		key                        string // named by the error, or by the note
+	}{
+		{3, 0, 3, 3, ""}, {3, 0, 0, 3, ""}, {0, 0, 0, 1, "settings.balancers"}, {0, 0, 4, 4, "settings.balancers"},
+		{2, 0, 4, 4, "settings.balancers"}, {5, 0, 4, 5, "peers"}, {2, 6, 0, 7, "settings.balancers"},
+		{-1, 0, 4, 0, "settings.balancers"}, {2, -1, 2, 0, "settings.position"},
+	} {
+		var all map[string]any
+		if err := json.Unmarshal(text, &all); err != nil {
+			t.Fatal(err)
+		}
+		set := all["settings"].(map[string]any)
+		set["balancers"], set["position"] = c.balancers, c.position
+		peers := []string{}
+		for i := range c.peers {
+			peers = append(peers, fmt.Sprintf("127.0.0.%d:7946", i+1))
+		}
+		all["peers"] = peers
+		data, err := json.Marshal(all)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := Parse(data, "", "")
+		said := fmt.Sprint(err)
+		if err == nil {
+			said = strings.Join(got.Notes, "; ")
+		}
+		if (err == nil) != (c.want > 0) || err == nil && got.Settings.Directors != c.want || !strings.Contains(said, c.key) || c.key == "" && said != "" {
+			t.Errorf("%+v: %v, %q", c, got, said)
+		}
+	}
+}
