--- a/agreement/agreement.go
+++ b/agreement/agreement.go
@@ -167,6 +167,7 @@
 	// Apply applies a command to a value. It must give the same for the same. A command may come twice.
 	Apply  func(value, command []byte) (next, reply []byte)
 	Round  time.Duration // 0: DefaultRound
+	Gap    time.Duration // questions are gathered for so long after one was answered
 	Spread time.Duration // 0: DefaultSpread
 	Seed   uint64
 }
@@ -232,6 +233,7 @@
 	forming bool // this round begins it all
 	holds   bool // a majority's promises to ballot may still hold, and known is under it
 	until   time.Duration
+	read    time.Duration // the latest round for questions alone began
 	wait    time.Duration // nothing is begun before
 	crossed int           // in a row
 	got     map[string]Message
@@ -436,6 +438,12 @@
 	if v.phase != idle || len(v.queue)+len(v.asks)+len(v.blanks) == 0 || v.now < v.wait {
 		return
 	}
+	if len(v.queue)+len(v.blanks) == 0 {
+		if v.read > 0 && v.now < v.read+v.cfg.Gap {
+			return
+		}
+		v.read = v.now
+	}
 	v.until = v.now + v.cfg.Round
 	v.got = map[string]Message{}
 	v.work, v.queue = v.queue, nil
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,741 @@
+// Package fleet is a gateway's part in what gateways settle among themselves: it votes, if it is one of the few that do; it
+// keeps its view of what was agreed on, with a lease on it; it says which machines may be sent to; and it takes the order of work
+// forward. It does no I/O and reads no clock.
+//
+// A gateway asks a voter for the view, again and again. The voter answers with what a majority has confirmed after the question
+// came, so that the gateway knows what was agreed on when it asked. From then on its lease holds for as long as the bounds say, by its
+// own clock. One that gets no answer goes on serving: it takes what it knows to be granted for drained, and what it doesn't know of
+// is not taken out, since no machine is drained before every gateway has said that it has heard.
+package fleet
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"larchusher/agreement"
+	"larchusher/work"
+)
+
+const (
+	// Version is that of the messages. One that is higher is read as far as it is understood.
+	Version = 1
+
+	stepEvery   = 250 * time.Millisecond // how often the order is taken forward
+	reportFor   = 3 * time.Second        // a gateway's report counts for so long
+	silentAfter = 2                      // questions without an answer, after which another voter is asked
+	mostOut     = 64                     // questions and commands under way for others
+	commandFor  = 8 * time.Second        // a command that is not answered by then is given up
+)
+
+// Report is what a gateway has seen. It comes with its questions.
+type Report struct {
+	Machines map[string]work.Machine
+	Strain   string
+}
+
+// Kind is what a message says.
+type Kind int
+
+// The kinds of message.
+const (
+	Vote    Kind = iota + 1 // between voters: Vote
+	Renew                   // a gateway asks for the view
+	View                    // the answer
+	Order                   // a command, or a question with the Query it is; from a gateway or an operator's tool
+	Reply                   // the answer
+	Unknown                 // of a later version; passed over, and counted
+)
+
+// Message goes between gateways, and between an operator's tool and one of them.
+type Message struct {
+	Kind     Kind
+	ID       uint64 // of a Renew or an Order; in its answer
+	Vote     agreement.Message
+	Life     uint64 // of a Renew
+	Blank    bool   // of a Renew: its sender has no view, and sends to no machine
+	Have     uint64 // of a Renew: digest of the view that its sender has; of a View: of what was agreed on
+	Revision uint64 // of a View and a Reply: of what was agreed on
+	Heard    uint64 // of a Renew: it knows of all grants up to this epoch,
+	Stopped  uint64 // and has stopped for all drains up to this
+	Report   *Report
+	Value    []byte // of a View: the state in brief, if it is another; of an Order: the command; of a Reply: what it came to
+	Query    string // of an Order: "state" or "plan"; empty: a command
+	Refused  string // of a Reply
+}
+
+// Event is anything that reaches a node.
+type Event interface{ event() }
+
+// Heard is a message, from a member or an operator's tool.
+type Heard struct {
+	From    string
+	Message Message
+}
+
+// Tick says that time has passed. It comes at least every hundred milliseconds.
+type Tick struct{}
+
+// Seen is what the gateway has observed itself.
+type Seen struct{ Report Report }
+
+// Idle says that nothing is out at, or by way of, the machines that are held as of a generation of Hold.
+type Idle struct{ Generation uint64 }
+
+// VoteStored says that the vote of that number lasts; ViewStored that the view of that revision does.
+type VoteStored struct{ Number uint64 }
+
+// ViewStored says that a view lasts.
+type ViewStored struct{ Revision uint64 }
+
+// Left says that the gateway has drained itself, as Leave asked it to.
+type Left struct{}
+
+func (Heard) event()      {}
+func (Tick) event()       {}
+func (Seen) event()       {}
+func (Idle) event()       {}
+func (VoteStored) event() {}
+func (ViewStored) event() {}
+func (Left) event()       {}
+
+// Action is anything that a node wants done.
+type Action interface{ action() }
+
+// Send sends a message. It may get lost.
+type Send struct {
+	To      string
+	Message Message
+}
+
+// StoreVote and StoreView write what must last, and report it.
+type StoreVote struct{ Store agreement.Store }
+
+// StoreView writes a view.
+type StoreView struct {
+	Revision uint64
+	Value    []byte
+}
+
+// Hold names all machines that nothing may be sent to from now on, nor named as a source. Machines that are missing may be
+// sent to again. Idle answers it.
+type Hold struct {
+	Generation uint64
+	Machines   map[string]bool
+}
+
+// Leave asks the gateway to drain itself and end; Left answers it.
+type Leave struct{}
+
+// Audit is a line on what was settled.
+type Audit struct{ Text string }
+
+func (Send) action()      {}
+func (StoreVote) action() {}
+func (StoreView) action() {}
+func (Hold) action()      {}
+func (Leave) action()     {}
+func (Audit) action()     {}
+
+// Config is what a node is made of.
+type Config struct {
+	Self    string
+	Life    uint64   // new with each start
+	Members []string // all, the own one with them
+	Voters  []string // those that vote, in an order that all share
+	Vote    agreement.Vote
+	View    []byte // as stored by the life before; nil: none
+	Lasts   bool   // views are stored: what was heard is said only once it lasts
+	Bounds  work.Bounds
+	Clock   func() int64  // Unix milliseconds, for the history alone
+	Round   time.Duration // of the voters; 0: their default
+	Gap     time.Duration // questions to the voters are gathered for so long
+	Seed    uint64
+}
+
+// Counters count what befell a node.
+type Counters struct {
+	Renews, Views, Lapses, Unknown, Strangers, Steps, Dropped uint64
+}
+
+// question is a Renew or an Order that waits for an answer of the voters here.
+type question struct {
+	from string
+	m    Message
+	at   time.Duration
+}
+
+type report struct {
+	Report
+	at time.Duration
+}
+
+type stand struct {
+	id    uint64
+	stage work.Stage
+	epoch uint64
+}
+
+// Node is one. Use New.
+type Node struct {
+	Counters Counters
+
+	cfg   Config
+	rng   *rand.Rand
+	now   time.Duration
+	out   []Action
+	voter *agreement.Voter // nil: it does not vote
+
+	view     *work.State // in brief; nil: none is known
+	digest   uint64
+	revision uint64
+	storing  uint64 // revision of the view that is being stored
+	lasting  uint64 // epoch of the view that lasts
+	lease    time.Duration
+	leased   bool // Hold was last told with the lease
+	told     Hold
+	stopped  uint64
+	leaving  bool
+	left     bool
+
+	next   time.Duration // of the next question
+	serial uint64
+	sent   map[uint64]time.Duration // questions under way
+	target int                      // the voter that is asked
+	silent int
+
+	read    *work.State // what known gave last,
+	readAt  uint64      // and of which revision
+	seen    Report
+	reports map[string]report
+	heardAt map[string]time.Duration
+	waiting map[string]question // by the id under which the voter was asked
+	relayed map[uint64]question // orders handed on to a voter
+	since   map[stand]time.Duration
+	stepAt  time.Duration
+	lines   map[uint64]int // of each request's history, told to the audit
+}
+
+// New returns a node.
+func New(c Config) (*Node, error) {
+	if c.Life == 0 || c.Clock == nil {
+		return nil, fmt.Errorf("fleet: Life or Clock is missing")
+	}
+	if !slices.Contains(c.Members, c.Self) {
+		return nil, fmt.Errorf("fleet: Self: %q is none of the members", c.Self)
+	}
+	if len(c.Voters) == 0 {
+		return nil, fmt.Errorf("fleet: Voters: none")
+	}
+	for _, v := range c.Voters {
+		if !slices.Contains(c.Members, v) {
+			return nil, fmt.Errorf("fleet: Voters: %q is none of the members", v)
+		}
+	}
+	if err := c.Bounds.Check(); err != nil {
+		return nil, fmt.Errorf("fleet: Bounds: %w", err)
+	}
+	n := &Node{cfg: c, rng: rand.New(rand.NewPCG(c.Seed, 0xc2b2ae35)), sent: map[uint64]time.Duration{}, reports: map[string]report{},
+		heardAt: map[string]time.Duration{}, waiting: map[string]question{}, relayed: map[uint64]question{}, since: map[stand]time.Duration{},
+		lines: map[uint64]int{}}
+	if slices.Contains(c.Voters, c.Self) {
+		var err error
+		n.voter, err = agreement.New(agreement.Config{Self: c.Self, Voters: c.Voters, Vote: c.Vote, Apply: work.Apply(c.Bounds), Round: c.Round, Gap: c.Gap, Seed: c.Seed})
+		if err != nil {
+			return nil, err
+		}
+	}
+	if c.View != nil {
+		s, err := work.Decode(c.View)
+		if err != nil {
+			return nil, fmt.Errorf("fleet: View: %w", err)
+		}
+		n.view, n.lasting, n.digest = s, s.Epoch, work.Digest(c.View)
+	}
+	return n, nil
+}
+
+// Handle takes one event at the given time and appends the actions to out. Time must not run backwards.
+func (n *Node) Handle(now time.Duration, e Event, out []Action) []Action {
+	n.now, n.out = now, out
+	switch e := e.(type) {
+	case Heard:
+		n.heard(e.From, e.Message)
+	case Seen:
+		n.seen = e.Report
+		n.reports[n.cfg.Self] = report{e.Report, now}
+	case Idle:
+		if e.Generation == n.told.Generation && n.view != nil && n.leased && (!n.leaving || n.left) {
+			n.stopped = max(n.stopped, n.view.DrainsUpTo())
+			n.hurry()
+		}
+	case VoteStored:
+		if n.voter != nil {
+			n.vote(agreement.Stored{Number: e.Number})
+		}
+	case ViewStored:
+		if n.view != nil && e.Revision == n.storing {
+			n.lasting = n.view.Epoch
+			n.hurry()
+		}
+	case Left:
+		n.left = true
+		if n.view != nil {
+			n.stopped = max(n.stopped, n.view.DrainsUpTo())
+		}
+		n.hurry()
+	case Tick:
+		n.tick()
+	}
+	out, n.out = n.out, nil
+	return out
+}
+
+func (n *Node) do(a Action) { n.out = append(n.out, a) }
+
+// hurry has the next question go out soon: there is something to tell.
+func (n *Node) hurry() { n.next = min(n.next, n.now) }
+
+// Leased says whether what the node knows is fresh.
+func (n *Node) Leased(now time.Duration) bool { return n.view != nil && now < n.lease }
+
+// Ready says whether the gateway may send to anything: it must have known what was agreed on.
+func (n *Node) Ready() bool { return n.view != nil }
+
+// Permit says whether a machine may be sent to, or be named as a source, at this moment. It is asked right before something is
+// written. Guards against a process that was stopped, and goes on where it stood with what it believed then.
+func (n *Node) Permit(now time.Duration, machine string) bool {
+	if n.view == nil {
+		return false
+	}
+	if now < n.lease {
+		return !n.told.Machines[machine]
+	}
+	return !n.view.Held(false)[machine]
+}
+
+// State is the view; nil: none is known.
+func (n *Node) State() *work.State { return n.view }
+
+// ---- as a gateway ----
+
+func (n *Node) tick() {
+	if n.view != nil && n.leased && n.now >= n.lease {
+		n.Counters.Lapses++
+		n.hold()
+	}
+	if n.now >= n.next {
+		n.ask()
+	}
+	for id, q := range n.relayed {
+		if n.now-q.at > commandFor {
+			delete(n.relayed, id)
+		}
+	}
+	for id, at := range n.sent {
+		if n.now-at > n.cfg.Bounds.Lease {
+			delete(n.sent, id)
+		}
+	}
+	if n.voter == nil {
+		return
+	}
+	n.vote(agreement.Tick{})
+	for id, q := range n.waiting {
+		if n.now-q.at > commandFor {
+			delete(n.waiting, id)
+		}
+	}
+	if n.now >= n.stepAt {
+		n.stepAt = n.now + stepEvery
+		n.step()
+	}
+}
+
+// renewEvery is how often the view is asked for: five times in a lease.
+func (n *Node) renewEvery() time.Duration { return n.cfg.Bounds.Lease / 5 }
+
+// ask asks a voter for the view. Questions are spread, so that gateways that started together don't ask together.
+func (n *Node) ask() {
+	every := n.renewEvery()
+	n.next = n.now + every*3/4 + time.Duration(n.rng.Int64N(int64(every/2)))
+	if n.silent++; n.silent > silentAfter {
+		n.target, n.silent = (n.target+1)%len(n.cfg.Voters), 1
+	}
+	n.serial++
+	n.sent[n.serial] = n.now
+	n.Counters.Renews++
+	m := Message{Kind: Renew, ID: n.serial, Life: n.cfg.Life, Blank: n.view == nil, Have: n.digest, Stopped: n.stopped, Heard: n.lasting, Report: &n.seen}
+	if !n.cfg.Lasts && n.view != nil {
+		m.Heard = n.view.Epoch
+	}
+	n.send(n.cfg.Voters[n.target], m)
+}
+
+func (n *Node) send(to string, m Message) {
+	if to == n.cfg.Self {
+		n.heard(to, m)
+		return
+	}
+	n.do(Send{To: to, Message: m})
+}
+
+// viewed takes in an answer.
+func (n *Node) viewed(m Message) {
+	at, ok := n.sent[m.ID]
+	if !ok {
+		return // it was given up, or is a second one
+	}
+	delete(n.sent, m.ID)
+	n.silent = 0
+	n.Counters.Views++
+	news := false
+	if m.Revision < n.revision {
+		return // an old answer proves nothing of what is known by now
+	}
+	if m.Value != nil && m.Have != n.digest {
+		s, err := work.Decode(m.Value)
+		if err != nil {
+			n.Counters.Unknown++
+			return
+		}
+		n.view, n.digest, news = s, m.Have, true
+		if n.cfg.Lasts {
+			n.storing = m.Revision
+			n.do(StoreView{m.Revision, m.Value})
+		}
+		n.hurry()
+	}
+	if n.view == nil || m.Have != n.digest {
+		return // the answer is to one who knew something else
+	}
+	n.revision = m.Revision
+	// What was agreed on when the question left is known: the lease counts from then.
+	n.lease = max(n.lease, at+n.cfg.Bounds.Lease)
+	if news || !n.leased {
+		n.hold()
+	}
+}
+
+// hold tells what is held, if that has changed.
+func (n *Node) hold() {
+	n.leased = n.now < n.lease
+	held := n.view.Held(n.leased)
+	if r := n.ownTurn(); r != nil && !n.leaving {
+		n.leaving = true
+		n.do(Leave{})
+	}
+	if n.told.Generation > 0 && maps.Equal(held, n.told.Machines) {
+		if n.leased && len(held) == 0 {
+			n.stopped = max(n.stopped, n.view.DrainsUpTo())
+		}
+		if n.leased { // the same machines, perhaps by a newer drain
+			n.do(n.told)
+		}
+		return
+	}
+	n.told = Hold{n.told.Generation + 1, held}
+	n.do(n.told)
+}
+
+// ownTurn is the request for this gateway's own machine, once it drains.
+func (n *Node) ownTurn() *work.Request {
+	for _, r := range n.view.Requests {
+		if r.Machine == n.cfg.Self && r.Stage == work.Draining && r.Life == n.cfg.Life {
+			return r
+		}
+	}
+	return nil
+}
+
+// ---- as one that is asked ----
+
+func (n *Node) heard(from string, m Message) {
+	member := slices.Contains(n.cfg.Members, from)
+	if member {
+		n.heardAt[from] = n.now
+	}
+	switch m.Kind {
+	case Vote:
+		if n.voter != nil && member {
+			n.vote(agreement.Heard{From: from, Message: m.Vote})
+		}
+	case Renew:
+		if n.voter == nil || !member {
+			n.Counters.Strangers++
+			return
+		}
+		if m.Report != nil {
+			n.reports[from] = report{*m.Report, n.now}
+		}
+		n.renew(from, m)
+	case View:
+		if member {
+			n.viewed(m)
+		}
+	case Order:
+		n.order(from, m)
+	case Reply:
+		if q, ok := n.relayed[m.ID]; ok && member {
+			delete(n.relayed, m.ID)
+			m.ID = q.m.ID
+			n.send(q.from, m)
+		}
+	default:
+		n.Counters.Unknown++
+	}
+}
+
+// enquire gives the voter here something to do, for one who waits for the answer.
+func (n *Node) enquire(q question, command []byte) {
+	if len(n.waiting) >= 4*mostOut {
+		n.Counters.Dropped++
+		return
+	}
+	n.serial++
+	id := strconv.FormatUint(n.serial, 10)
+	n.waiting[id] = q
+	if command != nil {
+		n.vote(agreement.Wanted{ID: id, Command: command})
+	} else {
+		n.vote(agreement.Asked{ID: id})
+	}
+}
+
+func (n *Node) command(c work.Command) []byte {
+	c.By, c.AtMs = cmp.Or(c.By, n.cfg.Self), n.cfg.Clock()
+	b, err := json.Marshal(c)
+	if err != nil {
+		panic(fmt.Sprintf("fleet: %v", err)) // none of its types can fail
+	}
+	return b
+}
+
+// renew asks the voters for one that wants to know. What it has to tell of itself goes first, if that is news.
+func (n *Node) renew(from string, m Message) {
+	q := question{from, m, n.now}
+	var c []byte
+	if s, ok := n.known(); ok {
+		g, joined := s.Gateways[from]
+		switch {
+		case !joined || g.Life != m.Life:
+			c = n.join(from, m)
+		case m.Heard > g.Heard || m.Stopped > g.Stopped:
+			c = n.command(work.Command{By: from, Told: &work.Member{Name: from, Life: m.Life, Heard: m.Heard, Stopped: m.Stopped}})
+		}
+	} else { // the very first
+		c = n.join(from, m)
+	}
+	n.enquire(q, c)
+}
+
+func (n *Node) join(from string, m Message) []byte {
+	return n.command(work.Command{By: from, Join: &work.Member{Name: from, Life: m.Life, Blank: m.Blank, Heard: m.Heard}})
+}
+
+// known is the newest state that the voter here knows of, which may be old. It is not to be changed.
+func (n *Node) known() (*work.State, bool) {
+	s, ok := n.voter.Known()
+	if !ok {
+		return nil, false
+	}
+	if n.read == nil || n.readAt != s.Revision {
+		d, err := work.Decode(s.Value)
+		if err != nil {
+			return nil, false
+		}
+		n.read, n.readAt = d, s.Revision
+	}
+	return n.read, true
+}
+
+// order takes a command, or hands it on to a voter.
+func (n *Node) order(from string, m Message) {
+	if n.voter == nil {
+		if len(n.relayed) >= mostOut {
+			n.send(from, Message{Kind: Reply, ID: m.ID, Refused: "too many orders are under way"})
+			return
+		}
+		n.serial++
+		n.relayed[n.serial] = question{from, m, n.now}
+		m.ID = n.serial
+		n.send(n.cfg.Voters[n.target], m)
+		return
+	}
+	q := question{from, m, n.now}
+	if m.Query != "" {
+		n.enquire(q, nil)
+		return
+	}
+	var c work.Command
+	if err := json.Unmarshal(m.Value, &c); err != nil || c.Step != nil || c.Join != nil || c.Told != nil {
+		n.send(from, Message{Kind: Reply, ID: m.ID, Refused: "not an order"})
+		return
+	}
+	if c.Ask != nil { // what it is stands in the list
+		if own, ok := n.gather().Machines[c.Ask.Machine]; ok {
+			c.Ask.Kind, c.Ask.Zone = own.Kind, own.Zone
+		} else {
+			c.Ask.Kind = ""
+		}
+	}
+	n.enquire(q, n.command(c))
+}
+
+// vote hands an event to the voter here and carries out what it wants.
+func (n *Node) vote(e agreement.Event) {
+	for _, a := range n.voter.Handle(n.now, e, nil) {
+		switch a := a.(type) {
+		case agreement.Send:
+			n.do(Send{To: a.To, Message: Message{Kind: Vote, Vote: a.Message}})
+		case agreement.Store:
+			n.do(StoreVote{a})
+		case agreement.Done:
+			n.answered(a)
+		case agreement.Learned:
+			n.audit(a.State)
+		}
+	}
+}
+
+// answered hands on what the voters said.
+func (n *Node) answered(d agreement.Done) {
+	q, ok := n.waiting[d.ID]
+	if !ok {
+		return
+	}
+	delete(n.waiting, d.ID)
+	switch {
+	case d.Refused:
+		n.Counters.Dropped++
+	case q.m.Kind == Renew:
+		// Guards against a lease for one that is not among those that are waited for.
+		s, ok := n.known()
+		if !ok || n.readAt != d.State.Revision || s.Gateways[q.from].Life != q.m.Life {
+			return
+		}
+		brief := s.Brief().Encode()
+		m := Message{Kind: View, ID: q.m.ID, Revision: d.State.Revision, Have: work.Digest(brief)}
+		if q.m.Have != m.Have {
+			m.Value = brief
+		}
+		n.send(q.from, m)
+	case q.m.Kind == Order:
+		m := Message{Kind: Reply, ID: q.m.ID, Value: d.Reply, Revision: d.State.Revision}
+		switch q.m.Query {
+		case "state":
+			m.Value = d.State.Value
+		case "plan":
+			if s, err := work.Decode(d.State.Value); err == nil {
+				m.Value, _ = json.Marshal(s.Plan(n.gather(), n.cfg.Bounds))
+			}
+		}
+		n.send(q.from, m)
+	}
+}
+
+// audit tells of what is new in the histories.
+func (n *Node) audit(s agreement.State) {
+	d, err := work.Decode(s.Value)
+	if err != nil {
+		return
+	}
+	kept := map[uint64]bool{}
+	for _, r := range d.Requests {
+		kept[r.ID] = true
+		last := n.lines[r.ID]
+		for i, st := range r.History {
+			if i >= last {
+				n.do(Audit{r.Line(st)})
+			}
+		}
+		n.lines[r.ID] = len(r.History)
+	}
+	maps.DeleteFunc(n.lines, func(id uint64, _ int) bool { return !kept[id] })
+}
+
+// ---- as the one that takes the order forward ----
+
+// steward says whether this voter is the first of those that are heard of. Two that both think so are harmless: what they want is
+// applied to the state as it is, one after the other.
+func (n *Node) steward() bool {
+	for _, v := range n.cfg.Voters {
+		if v == n.cfg.Self {
+			return true
+		}
+		if at, ok := n.heardAt[v]; ok && n.now-at < reportFor {
+			return false
+		}
+	}
+	return false
+}
+
+// gather joins what all gateways have reported lately, the most cautious of it.
+func (n *Node) gather() *work.Observed {
+	o := &work.Observed{Machines: map[string]work.Machine{}}
+	for _, from := range slices.Sorted(maps.Keys(n.reports)) {
+		r := n.reports[from]
+		if n.now-r.at > reportFor {
+			if n.now-r.at > 10*reportFor {
+				delete(n.reports, from)
+			}
+			continue
+		}
+		o.Strain = cmp.Or(o.Strain, r.Strain)
+		for name, m := range r.Machines {
+			was, ok := o.Machines[name]
+			if !ok {
+				o.Machines[name] = m
+				continue
+			}
+			was.Up, was.Warm = was.Up && m.Up, was.Warm && m.Warm
+			was.BootMs = min(was.BootMs, m.BootMs) // it has started anew once all have heard of it
+			if m.Busy >= 0 {
+				was.Busy = max(was.Busy, m.Busy)
+			}
+			o.Machines[name] = was
+		}
+	}
+	return o
+}
+
+// step takes the order forward, if it can be taken anywhere.
+func (n *Node) step() {
+	s, ok := n.known()
+	if !ok || !n.steward() {
+		clear(n.since) // another counts, and may have begun before
+		return
+	}
+	o := n.gather()
+	now := map[stand]time.Duration{}
+	for _, r := range s.Requests {
+		if r.Stage.Ended() || r.Stage == work.Asked {
+			continue
+		}
+		k := stand{r.ID, r.Stage, r.Epoch}
+		at, ok := n.since[k]
+		if !ok {
+			at = n.now
+		}
+		now[k] = at
+		took := n.now - at
+		o.Spans = append(o.Spans, work.Span{ID: r.ID, Stage: r.Stage, Epoch: r.Epoch, Lapsed: took >= n.cfg.Bounds.Lapse(),
+			Late: took >= time.Duration(r.ForMs)*time.Millisecond, Ramped: took >= n.cfg.Bounds.Ramp})
+	}
+	n.since = now
+	if !slices.ContainsFunc(s.Requests, func(r *work.Request) bool { return !r.Stage.Ended() }) {
+		return
+	}
+	c := n.command(work.Command{Step: o})
+	was := s.Encode()
+	if next, _ := work.Apply(n.cfg.Bounds)(was, c); !bytes.Equal(next, was) {
+		n.Counters.Steps++
+		n.enquire(question{from: n.cfg.Self, m: Message{Kind: Unknown}, at: n.now}, c)
+	}
+}
