--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,6 +30,7 @@
 	stepEvery   = 250 * time.Millisecond // how often the order is taken forward
 	reportFor   = 3 * time.Second        // a gateway's report counts for so long
 	silentAfter = 2                      // questions without an answer, after which another voter is asked
+	homeAfter   = 8                      // answers of another voter, after which the first one is tried again
 	mostOut     = 64                     // questions and commands under way for others
 	commandFor  = 8 * time.Second        // a command that is not answered by then is given up
 )
@@ -208,6 +209,7 @@
 	serial uint64
 	sent   map[uint64]time.Duration // questions under way
 	target int                      // the voter that is asked
+	away   int                      // answers since the first voter was tried
 	silent int
 
 	read    *work.State // what known gave last,
@@ -395,6 +397,10 @@
 	delete(n.sent, m.ID)
 	n.silent = 0
 	n.Counters.Views++
+	// The first that is heard takes the order forward, and needs all reports: who asks another one tries it again.
+	if n.away++; n.away >= homeAfter {
+		n.target, n.away, n.silent = 0, 0, silentAfter-1
+	}
 	news := false
 	if m.Revision < n.revision {
 		return // an old answer proves nothing of what is known by now
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,145 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"larchusher/agreement"
+	"larchusher/work"
+)
+
+const second = time.Second
+
+// lone is a node that does not vote, whose voter is played by the test.
+func lone(t *testing.T, lasts bool, view []byte) *Node {
+	t.Helper()
+	n, err := New(Config{Self: "g9", Life: 5, Members: []string{"v", "g9"}, Voters: []string{"v"}, View: view, Lasts: lasts,
+		Bounds: work.Bounds{Lease: 2 * second}, Clock: func() int64 { return 0 }, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func state(epoch uint64, stages map[string]work.Stage) []byte {
+	s := &work.State{Epoch: epoch, Gateways: map[string]work.Gateway{}}
+	for _, m := range []string{"m1", "m2"} {
+		if st, ok := stages[m]; ok {
+			s.Requests = append(s.Requests, &work.Request{ID: uint64(len(m)), Machine: m, Kind: work.KindBox, Stage: st, Epoch: 1, Drain: 2})
+		}
+	}
+	return s.Encode()
+}
+
+// renew has the node ask at a time and returns the question.
+func renew(t *testing.T, n *Node, now time.Duration) Message {
+	t.Helper()
+	for _, a := range n.Handle(now, Tick{}, nil) {
+		if s, ok := a.(Send); ok && s.Message.Kind == Renew {
+			return s.Message
+		}
+	}
+	t.Fatalf("%v: it does not ask", now)
+	return Message{}
+}
+
+func answer(q Message, revision uint64, value []byte) Heard {
+	return Heard{"v", Message{Kind: View, ID: q.ID, Revision: revision, Have: work.Digest(value), Value: value}}
+}
+
+// Nothing is sent before anything is known; with a lease only what drains is held; without one what was granted as well.
+func TestPermitFollowsTheLease(t *testing.T) {
+	n := lone(t, false, nil)
+	if n.Permit(second, "m3") || n.Ready() {
+		t.Error("it sends before it knows of anything")
+	}
+	q := renew(t, n, second)
+	if !q.Blank {
+		t.Error("it does not say that it knows of nothing")
+	}
+	n.Handle(1200*time.Millisecond, answer(q, 4, state(3, map[string]work.Stage{"m1": work.Granted, "m2": work.Draining})), nil)
+	for _, c := range []struct {
+		at         time.Duration
+		m1, m2, m3 bool
+	}{{1200 * time.Millisecond, true, false, true}, {2999 * time.Millisecond, true, false, true}, {3 * second, false, false, true}, {99 * second, false, false, true}} {
+		if a, b, d := n.Permit(c.at, "m1"), n.Permit(c.at, "m2"), n.Permit(c.at, "m3"); a != c.m1 || b != c.m2 || d != c.m3 {
+			t.Errorf("%v: %v %v %v, want %+v", c.at, a, b, d, c)
+		}
+	}
+}
+
+// A lease counts from the question, not from its answer: what was agreed on meanwhile is not in it.
+func TestALeaseCountsFromTheQuestion(t *testing.T) {
+	n := lone(t, false, nil)
+	q := renew(t, n, second)
+	n.Handle(3500*time.Millisecond, answer(q, 4, state(3, nil)), nil)
+	if n.Leased(3500 * time.Millisecond) {
+		t.Error("an answer that took 2.5 s gives a lease of two")
+	}
+}
+
+// An answer that is older than what is known, by another way round, proves nothing.
+func TestAnOldAnswerGivesNoLease(t *testing.T) {
+	n := lone(t, false, nil)
+	old := renew(t, n, second)
+	late := renew(t, n, 1600*time.Millisecond)
+	news := state(3, map[string]work.Stage{"m1": work.Draining})
+	n.Handle(1700*time.Millisecond, answer(late, 9, news), nil)
+	before := n.lease
+	n.Handle(1800*time.Millisecond, answer(old, 4, state(1, nil)), nil)
+	if n.Permit(1900*time.Millisecond, "m1") {
+		t.Error("an old view took the place of a newer one")
+	}
+	n.Handle(1900*time.Millisecond, answer(late, 9, news), nil)
+	if n.lease != before {
+		t.Error("a second answer to one question gives more lease")
+	}
+}
+
+// What was heard is said once it lasts, and what was stored holds after a start until more is known.
+func TestHeardIsWhatLasts(t *testing.T) {
+	n := lone(t, true, nil)
+	n.Handle(1100*time.Millisecond, answer(renew(t, n, second), 4, state(3, map[string]work.Stage{"m1": work.Granted})), nil)
+	if q := renew(t, n, 1600*time.Millisecond); q.Heard != 0 {
+		t.Errorf("it says that it has heard of %d, which is not stored yet", q.Heard)
+	}
+	n.Handle(1700*time.Millisecond, ViewStored{4}, nil)
+	if q := renew(t, n, 2300*time.Millisecond); q.Heard != 3 {
+		t.Errorf("it says that it has heard of %d", q.Heard)
+	}
+	again := lone(t, true, state(3, map[string]work.Stage{"m1": work.Granted}))
+	if again.Permit(second, "m1") || !again.Permit(second, "m2") {
+		t.Error("after a start it does not go by what was stored")
+	}
+	if q := renew(t, again, second); q.Blank || q.Heard != 3 {
+		t.Errorf("after a start it says %+v", q)
+	}
+}
+
+// Strangers and what can't be read are passed over.
+func TestOnlyMembersAreHeard(t *testing.T) {
+	n := lone(t, false, nil)
+	q := renew(t, n, second)
+	h := answer(q, 4, state(3, nil))
+	h.From = "stranger"
+	n.Handle(1100*time.Millisecond, h, nil)
+	bad := answer(q, 4, []byte("{"))
+	n.Handle(1100*time.Millisecond, bad, nil)
+	n.Handle(1100*time.Millisecond, Heard{"v", Message{Kind: Kind(99)}}, nil)
+	n.Handle(1100*time.Millisecond, Heard{"stranger", Message{Kind: Vote, Vote: agreement.Message{Kind: agreement.Learn}}}, nil)
+	if n.Ready() || n.Counters.Unknown != 2 {
+		t.Errorf("ready %v, %+v", n.Ready(), n.Counters)
+	}
+}
+
+func TestConfigNamesWhatIsWrong(t *testing.T) {
+	clock := func() int64 { return 0 }
+	for i, c := range []Config{{}, {Life: 1, Clock: clock, Self: "x"}, {Life: 1, Clock: clock, Self: "x", Members: []string{"x"}},
+		{Life: 1, Clock: clock, Self: "x", Members: []string{"x"}, Voters: []string{"y"}},
+		{Life: 1, Clock: clock, Self: "x", Members: []string{"x"}, Voters: []string{"x"}, Vote: agreement.Vote{Life: 1}, Bounds: work.Bounds{Full: 2}},
+		{Life: 1, Clock: clock, Self: "x", Members: []string{"x", "y"}, Voters: []string{"y"}, View: []byte("{")}} {
+		if _, err := New(c); err == nil {
+			t.Errorf("case %d is taken", i)
+		}
+	}
+}
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -193,10 +193,18 @@
 			})
 		case Leave:
 			m.leaving = true
-			w.clock.At(w.clock.Now+300*time.Millisecond, func() {
-				if m.epoch == epoch {
-					w.do(m, Left{})
+			w.clock.At(w.clock.Now+300*time.Millisecond, func() { // it has drained, says so, and ends; then it is back
+				if m.epoch != epoch || m.node == nil || m.stopped {
+					return
 				}
+				w.do(m, Left{})
+				w.clock.At(w.clock.Now+3*time.Second, func() {
+					if m.epoch == epoch {
+						m.epoch++
+						m.node = nil
+						w.clock.At(w.clock.Now+500*time.Millisecond, func() { w.begin(m, false) })
+					}
+				})
 			})
 		case Audit:
 		}
@@ -394,8 +402,10 @@
 	for i := range 8 + w.rng.IntN(6) {
 		all := slices.Sorted(maps.Keys(w.boxes))
 		m := all[w.rng.IntN(len(all))]
+		if i == 0 && len(w.names) >= 4 { // and one of the gateways' own
+			m = w.names[w.rng.IntN(len(w.names))]
+		}
 		w.clock.At(time.Duration(1500+w.rng.IntN(6000))*time.Millisecond, func() { w.ask(m) })
-		_ = i
 	}
 	for range w.rng.IntN(6) {
 		w.trouble(time.Duration(1000+w.rng.IntN(15000)) * time.Millisecond)
--- a/work/order.go
+++ b/work/order.go
@@ -291,9 +291,6 @@
 			return fmt.Sprintf("zone %s is away: %d of %d boxes are down", name, z.down, z.all)
 		}
 	}
-	if gone > 0 && gone+1 > int(b.ZoneShare*float64(all)) {
-		return fmt.Sprintf("%d of %d machines of its kind in %s are out or cold", gone, all, own.Zone)
-	}
 	switch own.Kind {
 	case KindParent:
 		if left < b.Parents {
@@ -313,6 +310,9 @@
 			return fmt.Sprintf("the load of %s, %.1f, is over %.2f of what would stay, %.1f", own.Zone, load, b.Full, weight)
 		}
 	}
+	if gone > 0 && gone+1 > int(b.ZoneShare*float64(all)) {
+		return fmt.Sprintf("%d of %d machines of its kind in %s are out or cold", gone, all, own.Zone)
+	}
 	return ""
 }
 
--- a/work/work.go
+++ b/work/work.go
@@ -188,7 +188,7 @@
 		}
 		r, err := s.apply(&c, b)
 		if err != nil {
-			return value, answer(Reply{Refused: err.Error()})
+			return value, answer(Reply{ID: r.ID, Refused: err.Error()})
 		}
 		return s.Encode(), answer(r)
 	}
