--- a/cmd/larchusher/counters.go
+++ b/cmd/larchusher/counters.go
@@ -44,6 +44,12 @@
 	if p.keeper != nil {
 		all = append(all, p.keeper.Values(p.gw.Clock(p.loop.Now()))...)
 	}
+	if p.fleet != nil {
+		values := p.fleet.Values()
+		for _, name := range p.fleet.Names() {
+			add(metrics.Gauge, name, "Of what gateways settle among themselves; see the operators' page.", values[name])
+		}
+	}
 	if p.link != nil {
 		count("peer_sent", "Datagrams sent.", uint64(p.link.Sent))
 		count("peer_heard", "Datagrams heard.", uint64(p.link.Heard))
--- a/cmd/larchusher/main.go
+++ b/cmd/larchusher/main.go
@@ -18,13 +18,14 @@
 
 // cli is the command line.
 type cli struct {
-	Serve serve `cmd:"" default:"withargs" help:"Serve until SIGTERM. This is what a bare start does."`
-	Sign  sign  `cmd:"" help:"Sign a path and query with a key of the signed front, and print it."`
-	Check check `cmd:"" help:"Check the configuration and the operator's file, and end with status 1 if one is at fault."`
-	State state `cmd:"" help:"Look at what a gateway has kept of what it learned."`
-	Get   get   `cmd:"" passthrough:"" help:"Read an object from gateways, as a client (runs larchusher-lab get)."`
-	Ping  ping  `cmd:"" passthrough:"" help:"Ask gateways for a part and say how it ended (runs larchusher-lab ping)."`
-	Lab   lab   `cmd:"" passthrough:"" help:"Experiments on loopback: stand-ins, load, plots (runs larchusher-lab)."`
+	Serve serve       `cmd:"" default:"withargs" help:"Serve until SIGTERM. This is what a bare start does."`
+	Sign  sign        `cmd:"" help:"Sign a path and query with a key of the signed front, and print it."`
+	Check check       `cmd:"" help:"Check the configuration and the operator's file, and end with status 1 if one is at fault."`
+	State state       `cmd:"" help:"Look at what a gateway has kept of what it learned."`
+	Work  workCommand `cmd:"" help:"Ask for work on machines, and see in which order the gateways settle it."`
+	Get   get         `cmd:"" passthrough:"" help:"Read an object from gateways, as a client (runs larchusher-lab get)."`
+	Ping  ping        `cmd:"" passthrough:"" help:"Ask gateways for a part and say how it ended (runs larchusher-lab ping)."`
+	Lab   lab         `cmd:"" passthrough:"" help:"Experiments on loopback: stand-ins, load, plots (runs larchusher-lab)."`
 }
 
 func main() {
--- a/cmd/larchusher/serve.go
+++ b/cmd/larchusher/serve.go
@@ -15,6 +15,7 @@
 
 	"larchusher/gateway"
 	"larchusher/internal/config"
+	"larchusher/internal/fleethost"
 	"larchusher/internal/httpapi"
 	"larchusher/internal/metrics"
 	"larchusher/internal/net/agentcheck"
@@ -34,6 +35,7 @@
 	leastDeadline  = 3 * time.Second        // a kill comes no sooner than the longest deadline, or this, and
 	lastAnswers    = 500 * time.Millisecond // 0.7 s after SIGTERM
 	flushFor       = 150 * time.Millisecond
+	lastWord       = time.Second           // for the fleet to take in that this gateway has left
 	lastSnapshot   = 30 * time.Millisecond // for a snapshot that is being written, after all answers
 )
 
@@ -55,6 +57,8 @@
 	link   *peers.Link
 	signed *signedfront.Front // nil: off
 	keeper *snapshot.Keeper   // nil: what is learned is not kept
+	fleet  *fleethost.Host    // nil: this gateway is alone
+	left   func()             // to be called once all is answered; nil: nobody waits for that
 	accept []*transport.Listener
 
 	cfg      *config.Gateway  // as taken in at the start
@@ -115,6 +119,9 @@
 		}
 		gc.Peers = p.link
 	}
+	if op.Fleet != nil { // nothing is sent before it is known what is out for work
+		gc.Permit = func(store string) bool { return p.fleet != nil && p.fleet.Permit(store) }
+	}
 	if p.gw, err = gateway.New(gc); err != nil {
 		return err
 	}
@@ -128,6 +135,13 @@
 	}
 	p.feed = journal.Follow(p.loop, p.engine, p.log, cfg.Journal, book, cfg.Known.Pos)
 	cfg.Known = journal.Known{} // all of it has been taken in
+	if op.Fleet != nil {
+		if p.fleet, err = fleethost.Start(op.Fleet, cfg.Settings, p.gw, p.loop, p.engine, p.log); err != nil {
+			return fmt.Errorf("operator's file %s: %w", s.Operator, err)
+		}
+		defer p.fleet.Close()
+		p.fleet.Leave = func(left func()) { p.left = left; p.drain() }
+	}
 	if p.link != nil {
 		go p.link.Read(p.loop, p.gw.Heard)
 	}
@@ -217,7 +231,7 @@
 		}
 	}
 	check := &agentcheck.Checker{Loop: p.loop, Metrics: metrics.Source(p.counters).Text, State: func() agentcheck.State {
-		return agentcheck.State{Ready: p.feed.Connected(), Draining: p.draining, Weight: p.gw.Weight()}
+		return agentcheck.State{Ready: p.feed.Connected() && (p.fleet == nil || p.fleet.Ready()), Draining: p.draining, Weight: p.gw.Weight()}
 	}}
 	for _, l := range []struct {
 		addr, what string
@@ -316,6 +330,9 @@
 
 // drain goes on accepting for as long as clients may still come, answers all that is open, and ends.
 func (p *program) drain() {
+	if p.draining { // for its own turn, and then by a signal
+		return
+	}
 	p.log.Info("draining")
 	p.draining = true
 	if p.keeper != nil {
@@ -341,12 +358,23 @@
 func (p *program) finish(last time.Time) {
 	if now := p.loop.Now(); !now.Before(last) {
 		p.gw.Close()
-		p.loop.After(flushFor, p.loop.Close)
+		p.loop.After(flushFor, p.end)
 		return
 	}
 	if p.gw.Open() == 0 && p.front.Idle() && (p.signed == nil || p.signed.Idle()) {
-		p.loop.Close()
+		p.end()
 		return
 	}
 	p.loop.After(10*time.Millisecond, func() { p.finish(last) })
 }
+
+// end ends the program; where others wait for its own turn, they hear of it first.
+func (p *program) end() {
+	if p.left == nil {
+		p.loop.Close()
+		return
+	}
+	p.left()
+	p.left = nil
+	p.loop.After(lastWord, p.loop.Close)
+}
--- /dev/null
+++ b/cmd/larchusher/work.go
@@ -0,0 +1,302 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"larchusher/fleet"
+	"larchusher/internal/config"
+	"larchusher/internal/net/fleetlink"
+	"larchusher/work"
+)
+
+// workCommand is the sub-command `work`.
+type workCommand struct {
+	Ask      workAsk      `cmd:"" help:"Ask for work on a machine."`
+	List     workList     `cmd:"" help:"List what is asked, granted and out."`
+	Show     workShow     `cmd:"" help:"Show a request, with who moved it when, and why."`
+	Withdraw workWithdraw `cmd:"" help:"Withdraw a request that is not out yet."`
+	Finish   workFinish   `cmd:"" help:"Say that the work on a machine is done."`
+	Wait     workWait     `cmd:"" help:"Wait until a machine's request is at a stage, or ended."`
+	Plan     workPlan     `cmd:"" help:"Say in what order requests would go, and which bound holds each back now."`
+	Forget   workForget   `cmd:"" help:"Say that a gateway is gone for good: nothing waits for it any more. It must not be running."`
+}
+
+// fleetFlags say whom to ask.
+type fleetFlags struct {
+	operatorFile
+	At      string        `help:"The gateway to ask; any, one after the other, without." placeholder:"NAME"`
+	Timeout time.Duration `help:"How long to try." default:"15s"`
+}
+
+// order sends an order to one gateway after the other until one answers.
+func (f *fleetFlags) order(c *work.Command, query string) (fleet.Message, error) {
+	op, err := config.LoadOperator(f.Operator, os.Getenv)
+	if err != nil {
+		return fleet.Message{}, err
+	}
+	if op.Fleet == nil {
+		return fleet.Message{}, errors.New("work: the operator's file (--operator) has no fleet")
+	}
+	members := op.Fleet.Members
+	if f.At != "" {
+		addr := op.Fleet.Address(f.At)
+		if addr == "" {
+			return fleet.Message{}, fmt.Errorf("--at: %q is none of the members", f.At)
+		}
+		members = []config.FleetMember{{Name: f.At, Address: addr}}
+	}
+	m := fleet.Message{Query: query}
+	if c != nil {
+		if c.By == "" {
+			c.By = by()
+		}
+		if m.Value, err = json.Marshal(c); err != nil {
+			return fleet.Message{}, fmt.Errorf("work: %w", err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), f.Timeout)
+	defer cancel()
+	var last error
+	for ctx.Err() == nil {
+		for _, g := range members {
+			reply, err := askOne(ctx, g, op.Fleet.Key, m)
+			if err == nil {
+				return reply, nil
+			}
+			last = err
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+	return fleet.Message{}, fmt.Errorf("work: no gateway answered in %v: %w", f.Timeout, last)
+}
+
+func askOne(ctx context.Context, g config.FleetMember, key []byte, m fleet.Message) (fleet.Message, error) {
+	one, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	t, err := fleetlink.Call(one, g.Name, g.Address, key)
+	if err != nil {
+		return fleet.Message{}, err
+	}
+	defer t.Close()
+	return t.Ask(one, m)
+}
+
+// by names who gives an order, for the history.
+func by() string {
+	host, _ := os.Hostname()
+	name := os.Getenv("USER")
+	if name == "" {
+		name = fmt.Sprint("uid ", os.Getuid())
+	}
+	return name + "@" + host
+}
+
+// do sends a command and reads what it came to.
+func (f *fleetFlags) do(c *work.Command) (work.Reply, error) {
+	m, err := f.order(c, "")
+	if err != nil {
+		return work.Reply{}, err
+	}
+	var r work.Reply
+	if m.Refused == "" {
+		if err := json.Unmarshal(m.Value, &r); err != nil {
+			return r, fmt.Errorf("work: the reply: %w", err)
+		}
+		m.Refused = r.Refused
+	}
+	if m.Refused != "" {
+		return r, fmt.Errorf("work: refused: %s", m.Refused)
+	}
+	return r, nil
+}
+
+func (f *fleetFlags) state() (*work.State, error) {
+	m, err := f.order(nil, "state")
+	if err != nil {
+		return nil, err
+	}
+	return work.Decode(m.Value)
+}
+
+type workAsk struct {
+	fleetFlags
+	Machine  string        `arg:"" help:"Name of the box, upper cache or gateway."`
+	For      time.Duration `help:"How long it is likely to be out." required:""`
+	By       time.Duration `help:"Wanted within so long from now; earlier ones go first."`
+	Priority int           `help:"Higher goes first, from -100 to 100."`
+	After    []string      `help:"Machines whose open requests go first."`
+	Key      string        `help:"Marks tries of one request as the same; drawn without."`
+}
+
+// Run asks.
+func (a *workAsk) Run() error {
+	if a.Key == "" {
+		b := make([]byte, 8)
+		_, _ = rand.Read(b)
+		a.Key = hex.EncodeToString(b)
+	}
+	q := &work.Ask{Key: a.Key, Machine: a.Machine, ForMs: a.For.Milliseconds(), Priority: a.Priority, After: a.After}
+	if a.By > 0 {
+		q.ByMs = time.Now().Add(a.By).UnixMilli()
+	}
+	r, err := a.do(&work.Command{Ask: q})
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Printf("request %d\n", r.ID)
+	return err
+}
+
+type workList struct {
+	fleetFlags
+	All bool `help:"Those that ended, too."`
+}
+
+// Run lists.
+func (l *workList) Run() error {
+	s, err := l.state()
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "ID\tMACHINE\tKIND\tPLACE\tSTAGE\tSINCE\tFOR")
+	for _, r := range s.Requests {
+		if r.Stage.Ended() && !l.All {
+			continue
+		}
+		stage := string(r.Stage)
+		if r.Overdue {
+			stage += ", overdue"
+		}
+		last := r.History[len(r.History)-1]
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\t%v\n", r.ID, r.Machine, r.Kind, r.Zone, stage, time.UnixMilli(last.AtMs).UTC().Format(time.RFC3339),
+			time.Duration(r.ForMs)*time.Millisecond)
+	}
+	return w.Flush()
+}
+
+type workShow struct {
+	fleetFlags
+	Machine string `arg:"" help:"Name of the machine."`
+}
+
+// Run shows the latest request for a machine.
+func (c *workShow) Run() error {
+	s, err := c.state()
+	if err != nil {
+		return err
+	}
+	for i := len(s.Requests) - 1; i >= 0; i-- {
+		if r := s.Requests[i]; r.Machine == c.Machine {
+			for _, st := range r.History {
+				fmt.Println(time.UnixMilli(st.AtMs).UTC().Format("2006-01-02T15:04:05.000Z"), r.Line(st))
+			}
+			return nil
+		}
+	}
+	return fmt.Errorf("work: nothing was asked for %q", c.Machine)
+}
+
+type workWithdraw struct {
+	fleetFlags
+	Machine string `arg:"" help:"Name of the machine."`
+	Why     string `help:"Reason, for the history."`
+}
+
+// Run withdraws.
+func (c *workWithdraw) Run() error {
+	_, err := c.do(&work.Command{Withdraw: &work.Named{Name: c.Machine, Why: c.Why}})
+	return err
+}
+
+type workFinish struct {
+	fleetFlags
+	Machine string `arg:"" help:"Name of the machine."`
+	Why     string `help:"Remark, for the history."`
+}
+
+// Run finishes.
+func (c *workFinish) Run() error {
+	_, err := c.do(&work.Command{Finish: &work.Named{Name: c.Machine, Why: c.Why}})
+	return err
+}
+
+type workForget struct {
+	fleetFlags
+	Gateway string `arg:"" help:"Name of the gateway."`
+}
+
+// Run forgets a gateway.
+func (c *workForget) Run() error {
+	_, err := c.do(&work.Command{Forget: &work.Named{Name: c.Gateway}})
+	return err
+}
+
+type workWait struct {
+	fleetFlags
+	Machine string        `arg:"" help:"Name of the machine."`
+	Until   string        `help:"Stage to wait for." default:"done"`
+	Within  time.Duration `help:"How long to wait." default:"1h"`
+}
+
+// Run waits.
+func (c *workWait) Run() error {
+	end := time.Now().Add(c.Within)
+	for {
+		s, err := c.state()
+		if err != nil {
+			return err
+		}
+		stage := work.Stage("")
+		for _, r := range s.Requests {
+			if r.Machine == c.Machine {
+				stage = r.Stage
+			}
+		}
+		switch {
+		case string(stage) == c.Until:
+			return nil
+		case stage == "" || stage.Ended():
+			return fmt.Errorf("work: %s is %s", c.Machine, strings.TrimSpace("not on its way "+string(stage)))
+		case time.Now().After(end):
+			return fmt.Errorf("work: %s is still %s after %v", c.Machine, stage, c.Within)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+type workPlan struct{ fleetFlags }
+
+// Run plans.
+func (c *workPlan) Run() error {
+	m, err := c.order(nil, "plan")
+	if err != nil {
+		return err
+	}
+	var all []work.Verdict
+	if err := json.Unmarshal(m.Value, &all); err != nil {
+		return fmt.Errorf("work: the plan: %w", err)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "WAVE\tID\tMACHINE\tHELD BACK NOW BY")
+	for _, v := range all {
+		wave := fmt.Sprint(v.Wave)
+		if v.Wave == 0 {
+			wave = "-"
+		}
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\n", wave, v.Request.ID, v.Request.Machine, v.Why)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/control/observe.go
@@ -0,0 +1,53 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// What a director has seen of its stores, for those who plan work on them. Nothing is decided here.
+
+// Observed is what is known of a store.
+type Observed struct {
+	ID, Kind, Zone string
+	Up, Warm       bool
+	Boot           time.Duration
+	Weight         float64
+	Busy           float64 // share of its capacity in use, as reported lately; less than 0: not known
+}
+
+const (
+	purgesMany = 3   // groups purged whole that have not settled: copies are being fetched anew
+	fetchesBad = 0.3 // share of late fetches at which the origin is said to be slow
+)
+
+// Observe gives all stores on the list in order, and why this is no time to have fewer of them; empty: nothing says so.
+func (d *Director) Observe(now time.Duration) (all []Observed, strain string) {
+	d.now = max(d.now, now)
+	kinds := [...]string{"box", "parent", "origin"}
+	for _, s := range d.servers {
+		o := Observed{ID: s.id, Kind: kinds[s.role], Up: s.up, Warm: d.warm(s), Boot: s.boot, Weight: s.weight, Busy: -1}
+		if s.zone >= 0 {
+			o.Zone = d.set.Zones[s.zone]
+		}
+		if busy, ok := s.load.Share(d.now); ok {
+			o.Busy = busy
+		}
+		all = append(all, o)
+	}
+	slices.SortFunc(all, func(a, b Observed) int { return cmp.Compare(a.ID, b.ID) })
+	groups := 0
+	for name, at := range d.purged.All() {
+		if name[0] == ' ' && d.now-at <= d.set.PurgeSettles {
+			groups++
+		}
+	}
+	switch {
+	case groups >= purgesMany:
+		strain = "groups of objects were just purged"
+	case d.fetches.Late >= fetchesBad && d.now-d.fetches.Seen < rateWindow:
+		strain = "the origin is slow"
+	}
+	return all, strain
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -322,6 +322,14 @@
 	return !n.view.Held(false)[machine]
 }
 
+// Agreed are the counters of the vote here; false: this one does not vote.
+func (n *Node) Agreed() (agreement.Counters, bool) {
+	if n.voter == nil {
+		return agreement.Counters{}, false
+	}
+	return n.voter.Counters, true
+}
+
 // State is the view; nil: none is known.
 func (n *Node) State() *work.State { return n.view }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,9 @@
 	Seed     uint64
 	Backend  Backend
 	Peers    Peers // nil: none
+	// Permit says whether a store may be sent to, or be named as a source, at this moment; it goes beside the list, and the
+	// more cautious of the two holds. nil: any may.
+	Permit   func(store string) bool
 	Log      logrus.FieldLogger
 	Tiers    *tiers.Config // localities that requests may go to, the own one first; its Bands and Seed are filled in. nil: the own one only
 	ToldKB   float64       // what a KB of a request's told size counts for in Settings.FlowKBps; 0: 1
@@ -40,8 +43,9 @@
 	Counters Counters
 
 	cfg      Config
-	base     time.Time           // the director's clock is the Unix time at base,
-	baseUnix time.Duration       // and runs on steadily whatever happens to the system's clock
+	base     time.Time     // the director's clock is the Unix time at base,
+	baseUnix time.Duration // and runs on steadily whatever happens to the system's clock
+	hold     holds
 	requests map[string]*Request // those that await their answer
 	over     map[string]*Request // those answered that have attempts out
 	serial   uint64
@@ -69,7 +73,8 @@
 	Gone     uint64              // requests whose client left first
 	Attempts uint64              // attempts handed to the backend
 	Ended    [control.Miss + 1]uint64
-	Withheld uint64 // attempts stopped right before they were written
+	Withheld uint64 // attempts stopped right before they were written,
+	Held     uint64 // and of them those to machines that are out for work
 	Told     uint64 // messages to peers
 	Heard    uint64 // messages from peers
 	Purges   uint64
@@ -100,6 +105,7 @@
 
 // Members tells the director of a list of stores.
 func (g *Gateway) Members(m control.Members) {
+	m = g.hold.listed(m)
 	g.listed(m)
 	g.handleAll(m)
 }
@@ -245,6 +251,10 @@
 		return false
 	}
 	age, ok := g.directors[a.where].Recheck(g.now(), a.Request.id, a.number)
+	if p := g.cfg.Permit; p != nil && !(p(a.Server) && (a.Source == "" || p(a.Source))) {
+		ok = false
+		g.Counters.Held++
+	}
 	if !ok || a.Request.answered || !a.Expiry.After(g.cfg.Loop.Now()) {
 		g.Counters.Withheld++
 		g.Ended(a, Result{Status: control.NotSent})
@@ -453,7 +463,7 @@
 
 // All returns the counters by name.
 func (c *Counters) All() map[string]uint64 {
-	all := map[string]uint64{"taken": c.Taken, "gone": c.Gone, "attempts": c.Attempts, "withheld": c.Withheld,
+	all := map[string]uint64{"taken": c.Taken, "gone": c.Gone, "attempts": c.Attempts, "withheld": c.Withheld, "held_out": c.Held,
 		"told": c.Told, "heard": c.Heard, "purges": c.Purges, "panics": c.Panics}
 	for i, n := range c.Answered {
 		all["answered_"+Outcome(i).String()] = n
--- /dev/null
+++ b/gateway/hold.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"larchusher/control"
+)
+
+// Machines out for work are drained as if the list said so. What the list says and what is held are kept apart and merged: the
+// more cautious holds.
+
+// holds joins the list with what is held.
+type holds struct {
+	list map[string]control.Member // as the list has it
+	held map[string]bool
+}
+
+// listed takes in a list and gives it as the director is to see it.
+func (h *holds) listed(m control.Members) control.Members {
+	if h.list == nil {
+		h.list = map[string]control.Member{}
+	}
+	if m.Kind == control.FullList || m.Kind == control.StaleList {
+		clear(h.list)
+	}
+	for _, e := range m.Entries {
+		if h.list[e.ID] = e; e.Phase == control.Removed {
+			delete(h.list, e.ID)
+		}
+	}
+	if len(h.held) == 0 {
+		return m
+	}
+	m.Entries = slices.Clone(m.Entries)
+	for i, e := range m.Entries {
+		m.Entries[i] = h.merge(e)
+	}
+	return m
+}
+
+func (h *holds) merge(e control.Member) control.Member {
+	if h.held[e.ID] && e.Phase == control.Up {
+		e.Phase = control.Draining
+	}
+	return e
+}
+
+// Hold says which stores nothing new may be sent to from now on, nor be named as a source. Those that were held before and are
+// not named any more are what the list says.
+func (g *Gateway) Hold(stores map[string]bool) {
+	was := g.hold.held
+	g.hold.held = maps.Clone(stores)
+	var changed []control.Member
+	for id, e := range g.hold.list {
+		if was[id] != stores[id] {
+			changed = append(changed, g.hold.merge(e))
+		}
+	}
+	if len(changed) == 0 {
+		return
+	}
+	slices.SortFunc(changed, func(a, b control.Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	m := control.Members{Kind: control.Changes, Entries: changed}
+	g.listed(m)
+	g.handleAll(m)
+}
+
+// Quiet says that no attempt is out at any of the stores, nor one that names one of them as its source.
+func (g *Gateway) Quiet(stores map[string]bool) bool {
+	if len(stores) == 0 {
+		return true
+	}
+	for _, all := range []map[string]*Request{g.requests, g.over} {
+		for _, r := range all {
+			for _, a := range r.attempts {
+				if !a.ended && (stores[a.Server] || a.Source != "" && stores[a.Source]) {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
+// Observed is what the gateway knows of the stores on its list, and why now is no time to take one out; empty: nothing speaks
+// against it.
+func (g *Gateway) Observed() (stores []control.Observed, strain string) {
+	now := g.now()
+	stores, strain = g.directors[0].Observe(now)
+	if strain == "" && g.Level() > shedsOver {
+		strain = "a gateway sheds load"
+	}
+	for i, s := range stores { // as the list has it: what is held is not down for that
+		stores[i].Up = g.hold.list[s.ID].Phase == control.Up
+	}
+	return stores, strain
+}
+
+// shedsOver is the share of the offer that may be shed without holding work back.
+const shedsOver = 0.05
+
+// StartedAt is the Unix time of a store's start on the director's clock; zero: long ago.
+func (g *Gateway) StartedAt(boot time.Duration) time.Time {
+	if boot <= 0 {
+		return time.Time{}
+	}
+	return g.base.Add(boot - g.baseUnix)
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -36,6 +36,7 @@
 	MetricsListen string  // counters for Prometheus; empty: off
 	Overload      overload.Config
 	State         *State        // nil: off
+	Fleet         *Fleet        // nil: off
 	Tiers         *tiers.Config // its Localities begin with the own one, whose Name is the platform's to say. nil: off
 }
 
@@ -109,7 +110,7 @@
 			places = append(places, l.Name)
 		}
 	}
-	return []any{listen, o.AgentListen, o.HTTPListen, o.MetricsListen, o.Overload, places, o.State}
+	return []any{listen, o.AgentListen, o.HTTPListen, o.MetricsListen, o.Overload, places, o.State, o.Fleet}
 }
 
 // Signed is the configuration of the front for signed URLs.
@@ -224,6 +225,9 @@
 	if o.State, err = readState(pb.GetState(), env); err != nil {
 		return nil, err
 	}
+	if o.Fleet, err = readFleet(pb.GetFleet(), env); err != nil {
+		return nil, err
+	}
 	if o.Tiers, err = readTiers(pb.GetTiers()); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/fleethost/host.go
@@ -0,0 +1,296 @@
+package fleethost
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"larchusher/agreement"
+	"larchusher/control"
+	"larchusher/fleet"
+	"larchusher/gateway"
+	"larchusher/internal/config"
+	"larchusher/internal/net/fleetlink"
+	"larchusher/internal/net/transport"
+	"larchusher/internal/snapshot"
+	"larchusher/work"
+)
+
+const (
+	tickEvery  = 50 * time.Millisecond
+	seenEvery  = 500 * time.Millisecond
+	readsGap   = 40 * time.Millisecond // questions to the voters are gathered for so long
+	warnEvery  = 10 * time.Second
+	slackAfter = 500 * time.Millisecond // beside the longest deadline, until what was sent has ended
+)
+
+// Host is a running part. It lives on the loop.
+type Host struct {
+	cfg    *config.Fleet
+	loop   *gateway.Loop
+	gw     *gateway.Gateway
+	log    logrus.FieldLogger
+	zone   string
+	node   *fleet.Node
+	link   *fleetlink.Link
+	keeper *keeper // nil: nothing lasts
+	unlock func()
+
+	// Leave is called when this gateway is to drain itself; the function that it is given is to be called once it has.
+	Leave func(left func())
+
+	began  time.Time
+	hold   fleet.Hold
+	seenAt time.Time
+	warned time.Time
+	failed error // of the latest write
+	closed bool
+}
+
+// Start starts the part of a gateway. Zone is its own. The gateway must ask Permit before it writes.
+func Start(cfg *config.Fleet, set control.Settings, gw *gateway.Gateway, loop *gateway.Loop, engine *transport.Engine, log logrus.FieldLogger) (*Host, error) {
+	h := &Host{cfg: cfg, loop: loop, gw: gw, log: log.WithField("fleet", cfg.Name), zone: set.Zone, began: time.Now().Add(-time.Second)}
+	bounds := cfg.Bounds
+	longest := time.Duration(0)
+	for _, c := range set.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	bounds.Grace, bounds.Ramp = max(set.DrainGrace, longest+slackAfter), max(set.ColdFor, set.ParentColdFor)
+	nc := fleet.Config{Self: cfg.Name, Life: newLife(), Voters: cfg.Voters, Bounds: bounds, Clock: h.wall, Gap: readsGap, Seed: newLife()}
+	for _, m := range cfg.Members {
+		nc.Members = append(nc.Members, m.Name)
+	}
+	nc.Vote = agreement.Vote{Life: nc.Life}
+	if cfg.Folder != "" {
+		if err := h.recall(&nc); err != nil {
+			return nil, err
+		}
+	}
+	var err error
+	if h.node, err = fleet.New(nc); err != nil {
+		h.free()
+		return nil, err
+	}
+	var members []fleetlink.Member
+	for _, m := range cfg.Members {
+		members = append(members, fleetlink.Member{Name: m.Name, Addr: m.Address})
+	}
+	h.link, err = fleetlink.Open(cfg.Name, cfg.Listen, members, cfg.Key, loop, engine, h.log, func(from string, m fleet.Message) {
+		h.do(fleet.Heard{From: from, Message: m})
+	})
+	if err != nil {
+		h.free()
+		return nil, err
+	}
+	// Nothing may be sent anywhere before the node has said what is held: Permit sees to that.
+	loop.After(0, h.tick)
+	return h, nil
+}
+
+// newLife is a number that no start before had.
+func newLife() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // it never fails
+	return binary.BigEndian.Uint64(b[:]) | 1
+}
+
+// recall reads what lasts. A spoilt file is as good as a lost one: a vote that is lost has another life.
+func (h *Host) recall(nc *fleet.Config) error {
+	dir := snapshot.Folder(h.cfg.Folder)
+	if err := os.MkdirAll(h.cfg.Folder, 0o700); err != nil {
+		return fmt.Errorf("fleet.folder: %w", err)
+	}
+	var err error
+	if h.unlock, err = dir.Lock(); err != nil {
+		return fmt.Errorf("fleet.folder: %w", err)
+	}
+	b, err := readFile(dir, voteFile, h.cfg.Key)
+	if err == nil && b != nil {
+		var v agreement.Vote
+		if v, err = fleetlink.DecodeVote(b); err == nil {
+			nc.Vote = v
+		}
+	}
+	if err != nil {
+		h.log.WithError(err).Error("the vote is lost: the others have to let this one vote again")
+	}
+	if nc.View, err = readFile(dir, viewFile, h.cfg.Key); err == nil && nc.View != nil {
+		_, err = work.Decode(nc.View)
+	}
+	if err != nil {
+		nc.View = nil
+		h.log.WithError(err).Error("the view is lost: nothing is sent before the others are heard")
+	}
+	nc.Lasts = true
+	h.keeper = newKeeper(dir, h.cfg.Key)
+	return nil
+}
+
+func (h *Host) free() {
+	if h.keeper != nil {
+		h.keeper.close()
+	}
+	if h.unlock != nil {
+		h.unlock()
+	}
+}
+
+// now is the node's clock: it runs on steadily whatever happens to the wall's.
+func (h *Host) now() time.Duration { return time.Since(h.began) }
+
+// wall is the Unix time in milliseconds, for the history alone. In the lab it can be put off.
+func (h *Host) wall() int64 {
+	ms := time.Now().UnixMilli()
+	if h.cfg.ClockFile != "" {
+		if b, err := os.ReadFile(h.cfg.ClockFile); err == nil {
+			if n, err := strconv.ParseInt(strings.TrimSpace(string(b)), 10, 64); err == nil {
+				ms += n
+			}
+		}
+	}
+	return ms
+}
+
+// Permit says whether a store may be sent to at this very moment. It reads the clock by itself: the loop's is as old as its
+// round, and a process that was stopped goes on in the middle of one.
+func (h *Host) Permit(store string) bool { return h.node.Permit(h.now(), store) }
+
+// Ready says whether the gateway may serve: it knows what was agreed on, or what it had known before.
+func (h *Host) Ready() bool { return h.node.Ready() }
+
+func (h *Host) tick() {
+	if h.closed {
+		return
+	}
+	now := h.loop.Now()
+	if now.Sub(h.seenAt) >= seenEvery {
+		h.seenAt = now
+		h.do(fleet.Seen{Report: h.report()})
+	}
+	h.do(fleet.Tick{})
+	h.idle()
+	h.loop.After(tickEvery, h.tick)
+}
+
+// report is what this gateway has seen of stores, and of itself.
+func (h *Host) report() fleet.Report {
+	stores, strain := h.gw.Observed()
+	r := fleet.Report{Strain: strain, Machines: map[string]work.Machine{}}
+	for _, s := range stores {
+		if s.Kind == "origin" {
+			continue
+		}
+		m := work.Machine{Kind: s.Kind, Zone: s.Zone, Up: s.Up, Warm: s.Warm, Weight: s.Weight, Busy: s.Busy}
+		if at := h.gw.StartedAt(s.Boot); !at.IsZero() {
+			m.BootMs = at.UnixMilli()
+		}
+		r.Machines[s.ID] = m
+	}
+	r.Machines[h.cfg.Name] = work.Machine{Kind: work.KindGateway, Zone: h.zone, Up: true, Warm: h.node.Ready(), Weight: 1, BootMs: h.began.UnixMilli()}
+	return r
+}
+
+// idle tells the node once nothing is out at what is held.
+func (h *Host) idle() {
+	if h.hold.Generation > 0 && h.gw.Quiet(h.hold.Machines) {
+		h.do(fleet.Idle{Generation: h.hold.Generation})
+	}
+}
+
+func (h *Host) do(e fleet.Event) {
+	if h.closed {
+		return
+	}
+	for _, a := range h.node.Handle(h.now(), e, nil) {
+		switch a := a.(type) {
+		case fleet.Send:
+			h.link.Send(a.To, a.Message)
+		case fleet.StoreVote:
+			h.storeVote(a.Store)
+		case fleet.StoreView:
+			h.store(viewFile, a.Value, fleet.ViewStored{Revision: a.Revision})
+		case fleet.Hold:
+			h.hold = a
+			h.gw.Hold(a.Machines)
+			h.loop.Post(h.idle)
+		case fleet.Leave:
+			h.log.Info("this gateway's own turn: it drains itself")
+			if h.Leave != nil {
+				h.Leave(func() { h.do(fleet.Left{}) })
+			}
+		case fleet.Audit:
+			h.log.WithField("audit", "work").Info(a.Text)
+		}
+	}
+}
+
+func (h *Host) storeVote(s agreement.Store) {
+	b, err := fleetlink.EncodeVote(s.Vote)
+	if err != nil {
+		h.log.WithError(err).Error("a vote can't be stored")
+		return
+	}
+	h.store(voteFile, b, fleet.VoteStored{Number: s.Number})
+}
+
+// store writes what must last, and says so once it does. Without a folder it lasts as long as this process, which is all that is
+// asked of it: the next one has another life.
+func (h *Host) store(name string, data []byte, done fleet.Event) {
+	if h.keeper == nil {
+		h.loop.Post(func() { h.do(done) })
+		return
+	}
+	h.keeper.write(name, data, func(err error) {
+		h.loop.Post(func() {
+			if err == nil {
+				h.failed = nil
+				h.do(done)
+				return
+			}
+			if h.failed = err; time.Since(h.warned) > warnEvery { // it is not said to last: the others do without this vote
+				h.warned = time.Now()
+				h.log.WithError(err).Error("what must last can't be written")
+			}
+		})
+	})
+}
+
+// Close ends the part.
+func (h *Host) Close() {
+	h.closed = true
+	h.link.Close()
+	h.free()
+}
+
+// Values are counters by name, and gauges.
+func (h *Host) Values() map[string]float64 {
+	n, l := h.node.Counters, h.link.Counters
+	v := map[string]float64{"fleet_renews": float64(n.Renews), "fleet_views": float64(n.Views), "fleet_lapses": float64(n.Lapses),
+		"fleet_unknown": float64(n.Unknown), "fleet_strangers": float64(n.Strangers), "fleet_steps": float64(n.Steps), "fleet_dropped": float64(n.Dropped + l.Dropped),
+		"fleet_sent": float64(l.Sent), "fleet_sent_bytes": float64(l.SentBytes), "fleet_heard": float64(l.Heard), "fleet_refused": float64(l.Refused),
+		"fleet_replayed": float64(l.Replayed), "fleet_dialled": float64(l.Dialled), "fleet_held": float64(len(h.hold.Machines))}
+	if h.node.Leased(h.now()) {
+		v["fleet_leased"] = 1
+	}
+	if c, ok := h.node.Agreed(); ok {
+		v["agreement_rounds"], v["agreement_confirms"], v["agreement_crossed"] = float64(c.Rounds), float64(c.Confirms), float64(c.Crossed)
+		v["agreement_expired"], v["agreement_admitted"] = float64(c.Expired), float64(c.Admitted)
+	}
+	return v
+}
+
+// Names are the names of Values in order.
+func (h *Host) Names() (names []string) {
+	for n := range h.Values() {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/net/fleetlink/frame.go
@@ -0,0 +1,131 @@
+// Package fleetlink carries messages between the gateways of an installation, and from an operator's tool to one of them: over
+// TCP connections that each carry one way, but for a tool's, in frames that are authenticated by the installation's key.
+//
+// It protects against anyone without the key: what they send is refused, and so is what was sent before, on another connection or
+// on the same one. It hides nothing, and does not protect against one who has the key, or who holds messages back.
+package fleetlink
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"larchusher/fleet"
+	"larchusher/internal/net/fleetlink/linkpb"
+)
+
+const (
+	magic         = "LFL1"
+	challengeSize = 16
+	greetingSize  = len(magic) + challengeSize
+	headSize      = 4 + sha256.Size
+	frameMost     = 512 << 10 // bytes of an envelope
+	nameMost      = 64
+)
+
+// Why a frame is refused, to be told apart by errors.Is.
+var (
+	ErrLong    = errors.New("a frame is too long")
+	ErrForged  = errors.New("a frame is not authenticated")
+	ErrOthers  = errors.New("a frame is for somebody else")
+	ErrUnread  = errors.New("a frame can't be read")
+	ErrVersion = errors.New("a frame has no version")
+)
+
+func newChallenge() []byte {
+	b := make([]byte, challengeSize)
+	_, _ = rand.Read(b) // it never fails
+	return b
+}
+
+func mac(key, challenge, envelope []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write(challenge)
+	h.Write(envelope)
+	return h.Sum(nil)
+}
+
+// writer words the frames of one direction of a connection.
+type writer struct {
+	key, challenge []byte // the reader's
+	from, to       string
+	sequence       uint64
+	own            []byte // challenge for what comes back; told once
+}
+
+func (w *writer) frame(m fleet.Message) ([]byte, error) {
+	w.sequence++
+	e := &linkpb.Envelope{Version: fleet.Version, From: w.from, To: w.to, Sequence: w.sequence, Message: out(m), Challenge: w.own}
+	w.own = nil
+	b, err := proto.Marshal(e)
+	if err != nil {
+		return nil, fmt.Errorf("a frame: %w", err)
+	}
+	if len(b) > frameMost {
+		return nil, fmt.Errorf("%w: %d bytes", ErrLong, len(b))
+	}
+	f := make([]byte, 0, headSize+len(b))
+	f = binary.BigEndian.AppendUint32(f, uint32(len(b)))
+	f = append(f, mac(w.key, w.challenge, b)...)
+	return append(f, b...), nil
+}
+
+// reader cuts a stream into frames and checks each. Its first error is final.
+type reader struct {
+	key, challenge []byte // its own
+	self           string
+	from           string // of the first frame; others are refused
+	sequence       uint64
+	replayed       uint64 // frames that came again, or late
+	theirs         []byte // challenge that the first frame told
+	buf            []byte
+}
+
+// feed takes bytes and calls emit with each message.
+func (r *reader) feed(b []byte, emit func(from string, m fleet.Message)) error {
+	r.buf = append(r.buf, b...)
+	for {
+		if len(r.buf) < headSize {
+			return nil
+		}
+		n := int(binary.BigEndian.Uint32(r.buf))
+		if n > frameMost { // before it is waited for
+			return fmt.Errorf("%w: %d bytes", ErrLong, n)
+		}
+		if len(r.buf) < headSize+n {
+			return nil
+		}
+		sum, body := r.buf[4:headSize], r.buf[headSize:headSize+n]
+		if !hmac.Equal(sum, mac(r.key, r.challenge, body)) {
+			return ErrForged
+		}
+		var e linkpb.Envelope
+		if err := proto.Unmarshal(body, &e); err != nil {
+			return fmt.Errorf("%w: %w", ErrUnread, err)
+		}
+		switch {
+		case e.GetVersion() == 0:
+			return ErrVersion
+		case e.GetTo() != r.self || e.GetFrom() == "" || len(e.GetFrom()) > nameMost || r.from != "" && e.GetFrom() != r.from:
+			return fmt.Errorf("%w: from %.64q to %.64q", ErrOthers, e.GetFrom(), e.GetTo())
+		}
+		if r.from == "" {
+			r.from, r.theirs = e.GetFrom(), e.GetChallenge()
+		}
+		r.buf = r.buf[headSize+n:]
+		if len(r.buf) == 0 {
+			r.buf = nil
+		}
+		if e.GetSequence() <= r.sequence { // doubled or overtaken on its way: as good as lost
+			r.replayed++
+			continue
+		}
+		r.sequence = e.GetSequence()
+		emit(r.from, in(e.GetMessage()))
+	}
+}
