lab/procs: plots of faults over real gateways that settle work, judged by the machines' own records

Changed: lab/procs starts processes of the daemon, each link direction led through a relay that loses, doubles, delays, cuts, and breaks off within frames; kills with and without the folder, SIGSTOP, clocks put off, crashes of boxes, forged bytes; plots in text form, drawn by seed. Load reports are read by either of their names (inflight or busy_reqs): stores use the one, settings may the other.

--- a/cmd/larchusher-lab/main.go
+++ b/cmd/larchusher-lab/main.go
@@ -20,6 +20,7 @@
 	Zones      zonesCmd      `cmd:"" help:"Have zones go dark and come back, in simulated time or with real gateways."`
 	Scene      sceneCmd      `cmd:"" help:"Play a scene of zones from a file, or a sweep over it, in simulated time."`
 	Compare    compareCmd    `cmd:"" help:"Hold the model against real gateways on the same scene."`
+	Procs      procsCmd      `cmd:"" help:"Play plots of faults over several real gateways that settle work on machines."`
 	Population populationCmd `cmd:"" help:"Play tens of thousands of clients through a death of gateways, in simulated time."`
 }
 
--- /dev/null
+++ b/internal/net/fleetlink/link_test.go
@@ -0,0 +1,249 @@
+package fleetlink
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"reflect"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"larchusher/agreement"
+	"larchusher/fleet"
+	"larchusher/gateway"
+	"larchusher/internal/net/fleetlink/linkpb"
+	"larchusher/internal/net/transport"
+	"larchusher/work"
+)
+
+var key = []byte("0123456789abcdef0123456789abcdef")
+
+func drawMessage(t *rapid.T) fleet.Message {
+	text := rapid.StringMatching("[a-z0-9]{0,12}")
+	ballot := func(name string) agreement.Ballot {
+		return agreement.Ballot{Number: rapid.Uint64().Draw(t, name), Voter: text.Draw(t, name)}
+	}
+	m := fleet.Message{Kind: fleet.Kind(rapid.IntRange(1, 9).Draw(t, "kind")), ID: rapid.Uint64().Draw(t, "id"), Life: rapid.Uint64().Draw(t, "life"), Blank: rapid.Bool().Draw(t, "blank"),
+		Have: rapid.Uint64().Draw(t, "have"), Revision: rapid.Uint64().Draw(t, "revision"), Heard: rapid.Uint64().Draw(t, "heard"), Query: text.Draw(t, "query"), Refused: text.Draw(t, "refused")}
+	if rapid.Bool().Draw(t, "value") {
+		m.Value = []byte(text.Draw(t, "bytes"))
+	}
+	if m.Kind == fleet.Vote {
+		m.Vote = agreement.Message{Kind: agreement.Kind(rapid.IntRange(1, 9).Draw(t, "vote")), Life: 7, Ballot: ballot("ballot"), Prior: ballot("prior"), Accepted: ballot("accepted"),
+			State: agreement.State{Revision: 3, Lives: map[string]uint64{"a": rapid.Uint64().Draw(t, "a")}, Value: []byte("x")}}
+	}
+	if rapid.Bool().Draw(t, "report") {
+		m.Report = &fleet.Report{Strain: text.Draw(t, "strain"), Machines: map[string]work.Machine{"b1": {Kind: "box", Zone: "z", Up: true, BootMs: 17, Weight: 2.5, Busy: -1}}}
+	}
+	return m
+}
+
+// Messages are read as they were written, in whatever pieces they come; and of a stream that was changed in any byte nothing is
+// read from the frame on in which that is.
+func TestFramesAreReadAsWrittenOrNotAtAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		challenge := bytes.Repeat([]byte{7}, challengeSize)
+		w := &writer{key: key, challenge: challenge, from: "a", to: "b"}
+		var sent []fleet.Message
+		var stream []byte
+		var ends []int
+		for range rapid.IntRange(1, 4).Draw(t, "frames") {
+			m := drawMessage(t)
+			f, err := w.frame(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			sent, stream = append(sent, m), append(stream, f...)
+			ends = append(ends, len(stream))
+		}
+		whole := len(sent)
+		if rapid.Bool().Draw(t, "change") {
+			at := rapid.IntRange(0, len(stream)-1).Draw(t, "at")
+			stream[at] ^= byte(rapid.IntRange(1, 255).Draw(t, "bits"))
+			for whole = 0; whole < len(ends) && ends[whole] <= at; whole++ {
+			}
+		}
+		r := &reader{key: key, challenge: challenge, self: "b"}
+		var got []fleet.Message
+		var err error
+		for len(stream) > 0 && err == nil {
+			n := rapid.IntRange(1, len(stream)).Draw(t, "piece")
+			err = r.feed(stream[:n], func(from string, m fleet.Message) { got = append(got, m) })
+			stream = stream[n:]
+		}
+		if !reflect.DeepEqual(got, sent[:whole]) && len(got)+whole > 0 {
+			t.Fatalf("%+v are read, %+v were written", got, sent[:whole])
+		}
+	})
+}
+
+func frameOf(t *testing.T, w *writer, m fleet.Message) []byte {
+	t.Helper()
+	f, err := w.frame(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// What nobody with the key would say now is refused: with another key, to another connection, for another, without a version, too
+// long; and what comes again on the same connection is passed over.
+func TestForgedAndReplayedFrames(t *testing.T) {
+	one, two := bytes.Repeat([]byte{1}, challengeSize), bytes.Repeat([]byte{2}, challengeSize)
+	good := func() *writer { return &writer{key: key, challenge: one, from: "a", to: "b"} }
+	none := func() []byte {
+		b, _ := proto.Marshal(&linkpb.Envelope{From: "a", To: "b", Sequence: 1})
+		return append(append([]byte{0, 0, 0, byte(len(b))}, mac(key, one, b)...), b...)
+	}
+	for _, c := range []struct {
+		name   string
+		stream []byte
+		want   error
+	}{
+		{"another key", frameOf(t, &writer{key: []byte("x"), challenge: one, from: "a", to: "b"}, fleet.Message{Kind: fleet.Renew}), ErrForged},
+		{"another connection's", frameOf(t, &writer{key: key, challenge: two, from: "a", to: "b"}, fleet.Message{Kind: fleet.Renew}), ErrForged},
+		{"for another", frameOf(t, &writer{key: key, challenge: one, from: "a", to: "c"}, fleet.Message{Kind: fleet.Renew}), ErrOthers},
+		{"from nobody", frameOf(t, &writer{key: key, challenge: one, to: "b"}, fleet.Message{Kind: fleet.Renew}), ErrOthers},
+		{"no version", none(), ErrVersion},
+		{"too long", []byte{0x7f, 0, 0, 0, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1}, ErrLong},
+		{"HTTP", []byte("GET / HTTP/1.1\r\nHost: somewhere.example\r\n\r\n"), ErrLong},
+	} {
+		r := &reader{key: key, challenge: one, self: "b"}
+		err := r.feed(c.stream, func(string, fleet.Message) { t.Errorf("%s is read", c.name) })
+		if !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, err, c.want)
+		}
+	}
+	w := good()
+	first, second := frameOf(t, w, fleet.Message{Kind: fleet.Renew, ID: 1}), frameOf(t, w, fleet.Message{Kind: fleet.Renew, ID: 2})
+	r, n := &reader{key: key, challenge: one, self: "b"}, 0
+	for _, f := range [][]byte{second, first, second} {
+		if err := r.feed(f, func(string, fleet.Message) { n++ }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n != 1 || r.replayed != 2 {
+		t.Errorf("%d of a frame, one overtaken and one that comes again are read, %d passed over", n, r.replayed)
+	}
+	r = &reader{key: key, challenge: one, self: "b"}
+	other := &writer{key: key, challenge: one, from: "c", to: "b", sequence: 5}
+	if err := r.feed(append(frameOf(t, good(), fleet.Message{}), frameOf(t, other, fleet.Message{})...), func(string, fleet.Message) {}); !errors.Is(err, ErrOthers) {
+		t.Errorf("two senders on one connection: %v", err)
+	}
+	if _, err := good().frame(fleet.Message{Value: make([]byte, frameMost+1)}); !errors.Is(err, ErrLong) {
+		t.Errorf("a message over the bound: %v", err)
+	}
+}
+
+func TestVotesAreReadAsWritten(t *testing.T) {
+	v := agreement.Vote{Life: 9, Promised: agreement.Ballot{Number: 4, Voter: "a"}, Accepted: agreement.Ballot{Number: 3, Voter: "b"}, Has: true,
+		State: agreement.State{Revision: 2, Lives: map[string]uint64{"a": 1}, Value: []byte("{}")}}
+	b, err := EncodeVote(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := DecodeVote(b); err != nil || !reflect.DeepEqual(got, v) {
+		t.Errorf("%+v, %v", got, err)
+	}
+	for _, bad := range [][]byte{nil, {0xff, 0xff}, b[:len(b)-1]} {
+		if _, err := DecodeVote(bad); err == nil {
+			t.Errorf("%x is read", bad)
+		}
+	}
+}
+
+// Two ends of a link speak, over a real connection each way; a member that goes and returns is found again; a tool is answered on its
+// own connection; strangers are turned away.
+func TestLink(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	type end struct {
+		loop  *gateway.Loop
+		link  *Link
+		heard chan fleet.Message
+	}
+	var members []Member
+	for _, n := range []string{"a", "b"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		members = append(members, Member{n, l.Addr().String()})
+		l.Close()
+	}
+	start := func(i int) *end {
+		e := &end{loop: gateway.NewLoop(), heard: make(chan fleet.Message, 100)}
+		engine, err := transport.New(log, 1<<20)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var link atomic.Pointer[Link]
+		l, err := Open(members[i].Name, members[i].Addr, members, key, e.loop, engine, log, func(from string, m fleet.Message) {
+			if m.Kind == fleet.Order {
+				link.Load().Send(from, fleet.Message{Kind: fleet.Reply, ID: m.ID, Value: []byte("yes")})
+				return
+			}
+			e.heard <- m
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		link.Store(l)
+		e.link = l
+		go e.loop.Run()
+		t.Cleanup(func() { e.loop.Post(l.Close); e.loop.Post(e.loop.Close); engine.Stop() })
+		return e
+	}
+	say := func(from, to *end, name string, id uint64) { // until it arrives: messages may get lost while a connection comes up
+		t.Helper()
+		late := time.After(10 * time.Second)
+		for {
+			from.loop.Post(func() { from.link.Send(name, fleet.Message{Kind: fleet.Renew, ID: id}) })
+			select {
+			case m := <-to.heard:
+				if m.ID == id {
+					return
+				}
+			case <-time.After(50 * time.Millisecond):
+			case <-late:
+				t.Fatalf("nothing arrives at %s", name)
+			}
+		}
+	}
+	a, b := start(0), start(1)
+	say(a, b, "b", 1)
+	say(b, a, "a", 2)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	tool, err := Call(ctx, "a", members[0].Addr, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer tool.Close()
+	for range 2 {
+		if m, err := tool.Ask(ctx, fleet.Message{Query: "state"}); err != nil || string(m.Value) != "yes" {
+			t.Fatalf("a tool's question: %+v, %v", m, err)
+		}
+	}
+	thief, err := Call(ctx, "a", members[0].Addr, []byte("another key altogether, 32 bytes"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer thief.Close()
+	if _, err := thief.Ask(ctx, fleet.Message{Query: "state"}); err == nil || strings.Contains(err.Error(), "deadline") {
+		t.Errorf("without the key: %v", err)
+	}
+	gone := make(chan struct{})
+	b.loop.Post(func() { b.link.Close(); close(gone) })
+	<-gone
+	b = start(1)
+	say(a, b, "b", 3)
+}
--- a/internal/net/resp/pool.go
+++ b/internal/net/resp/pool.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -502,6 +503,16 @@
 	return nil
 }
 
+// reportNames are the simulator's words for values of load reports by those of its wire, and back: the settings may use
+// either, whatever stores do.
+var reportNames = func() map[string]string {
+	all := map[string]string{"inflight": "busy_reqs", "util": "cpu_share", "queue": "pending", "latency_ms": "svc_ms", "qps": "served_ps", "eps": "failed_ps"}
+	for a, b := range maps.Clone(all) {
+		all[b] = a
+	}
+	return all
+}()
+
 // load reads a load report into the order of the settings.
 func (c *conn) load(report string) []float64 {
 	load := make([]float64, len(c.pool.cfg.LoadFields))
@@ -511,7 +522,11 @@
 	for part := range strings.SplitSeq(report, ";") {
 		name, value, _ := strings.Cut(part, ":")
 		x, err := strconv.ParseFloat(value, 64)
-		if i := slices.Index(c.pool.cfg.LoadFields, name); i >= 0 && err == nil {
+		i := slices.Index(c.pool.cfg.LoadFields, name)
+		if other, ok := reportNames[name]; ok && i < 0 {
+			i = slices.Index(c.pool.cfg.LoadFields, other)
+		}
+		if i >= 0 && err == nil {
 			load[i] = x
 		}
 	}
--- a/internal/net/resp/words_test.go
+++ b/internal/net/resp/words_test.go
@@ -43,3 +43,15 @@
 		}
 	}
 }
+
+// Settings name the values of a report in the simulator's words or in those of its wire; stores may use the others.
+func TestReportsAreReadByEitherName(t *testing.T) {
+	for _, fields := range [][]string{{"util", "x1", "inflight"}, {"cpu_share", "x1", "busy_reqs"}} {
+		c := &conn{pool: &Pool{cfg: Config{LoadFields: fields}}}
+		for _, report := range []string{"inflight:7;util:0.61;x1:0.2", "busy_reqs:7;cpu_share:0.61;x1:0.2;new:3"} {
+			if got := c.load(report); got[0] != 0.61 || got[1] != 0.2 || got[2] != 7 {
+				t.Errorf("%v of %q: %v", fields, report, got)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/lab/procs/plot.go
@@ -0,0 +1,190 @@
+// Package procs plays plots of faults over several real gateways: processes of the daemon before stand-in machines, their link
+// led through a relay for each direction between two of them. Machines are asked out for work meanwhile, and what the machines
+// themselves recorded says whether the gateways kept to their order.
+package procs
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Plot is what is played. Its text form can be written down and played again.
+type Plot struct {
+	Seed     uint64
+	Gateways int
+	Boxes    int // in each of two zones
+	For      time.Duration
+	Events   []Event
+}
+
+// Event is one line of a plot.
+type Event struct {
+	At   time.Duration
+	What string   // see kinds
+	Args []string // of which there are as many as the kind wants
+}
+
+// kinds are what can happen, with the number of arguments; -1: any.
+var kinds = map[string]int{
+	"ask":    2,  // machine, gateway that is asked
+	"kill":   2,  // gateway, "keep" or "lose" its folder: it starts anew with the event "start"
+	"start":  1,  // gateway
+	"stop":   1,  // gateway: SIGSTOP
+	"cont":   1,  // gateway: SIGCONT
+	"cut":    -1, // pairs a>b: nothing goes that way
+	"heal":   0,  // all cuts and bad links
+	"bad":    4,  // share lost, share doubled, delay up to, "cut" to break off within messages now and then, or "-"
+	"slow":   1,  // bytes a second on every link
+	"clock":  2,  // gateway, milliseconds that its wall clock is off
+	"crash":  1,  // box: it dies, and is told to be gone
+	"revive": 1,  // box: it is back, cold
+	"forge":  1,  // gateway that is sent forged and malformed bytes
+}
+
+// String is a plot's text form.
+func (p *Plot) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "plot seed %d gateways %d boxes %d for %v\n", p.Seed, p.Gateways, p.Boxes, p.For)
+	for _, e := range p.Events {
+		fmt.Fprintf(&b, "at %v %s\n", e.At, strings.Join(append([]string{e.What}, e.Args...), " "))
+	}
+	return b.String()
+}
+
+// Parse reads a plot's text form. Errors name the line.
+func Parse(text string) (*Plot, error) {
+	p := &Plot{}
+	s := bufio.NewScanner(strings.NewReader(text))
+	for n := 1; s.Scan(); n++ {
+		f := strings.Fields(s.Text())
+		if len(f) == 0 || strings.HasPrefix(f[0], "#") {
+			continue
+		}
+		var err error
+		switch {
+		case p.Gateways == 0:
+			if _, err = fmt.Sscanf(s.Text(), "plot seed %d gateways %d boxes %d for", &p.Seed, &p.Gateways, &p.Boxes); err == nil {
+				p.For, err = time.ParseDuration(f[len(f)-1])
+			}
+			if err == nil && (p.Gateways < 1 || p.Gateways > 9 || p.Boxes < 2 || p.Boxes > 20 || p.For <= 0) {
+				err = fmt.Errorf("out of range: %s", s.Text())
+			}
+		case f[0] != "at" || len(f) < 3:
+			err = fmt.Errorf("%q is not `at TIME WHAT ...`", s.Text())
+		default:
+			e := Event{What: f[2], Args: f[3:]}
+			want, known := kinds[e.What]
+			if e.At, err = time.ParseDuration(f[1]); err == nil && (!known || want >= 0 && len(e.Args) != want) {
+				err = fmt.Errorf("%q with %d arguments", e.What, len(e.Args))
+			}
+			p.Events = append(p.Events, e)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("plot: line %d: %w", n, err)
+		}
+	}
+	if p.Gateways == 0 {
+		return nil, fmt.Errorf("plot: empty")
+	}
+	return p, nil
+}
+
+func gateway(i int) string   { return "g" + strconv.Itoa(i) }
+func box(zone, i int) string { return fmt.Sprintf("b%d-%d", zone, i) }
+
+// Draw draws a plot. Whatever it does wrong it puts right before the end, so that every plan can end; and it never takes the
+// votes of a majority away.
+func Draw(seed uint64) *Plot {
+	rng := rand.New(rand.NewPCG(seed, 21))
+	p := &Plot{Seed: seed, Gateways: 3 + rng.IntN(5), Boxes: 4 + rng.IntN(6), For: 14 * time.Second}
+	at := func(from, to int) time.Duration { return time.Duration(from+rng.IntN(to-from)) * time.Millisecond }
+	add := func(t time.Duration, what string, args ...string) {
+		p.Events = append(p.Events, Event{t, what, args})
+	}
+	any := func() string { return gateway(rng.IntN(p.Gateways)) }
+	var machines []string
+	for z := range 2 {
+		for i := range p.Boxes {
+			machines = append(machines, box(z, i))
+		}
+	}
+	machines = append(machines, "p0", "p1")
+	rng.Shuffle(len(machines), func(i, j int) { machines[i], machines[j] = machines[j], machines[i] })
+	asks := 4 + rng.IntN(3)
+	for i := range asks {
+		add(at(800, 4000), "ask", machines[i], any())
+	}
+	if rng.IntN(2) == 0 { // the last two warm upper caches, at one moment at two gateways
+		t := at(1000, 2500)
+		add(t, "ask", "p0", gateway(0))
+		add(t, "ask", "p1", gateway(p.Gateways-1))
+	}
+	last := time.Duration(0)
+	until := func(from time.Duration) time.Duration {
+		t := min(from+at(300, 5000), 9*time.Second)
+		last = max(last, t)
+		return t
+	}
+	lost, busy := false, map[string]bool{}
+	for range 1 + rng.IntN(4) {
+		t, g := at(1000, 6500), any()
+		switch rng.IntN(9) {
+		case 0, 1, 2:
+			if busy[g] {
+				continue
+			}
+			busy[g] = true
+			folder := "keep"
+			if !lost && rng.IntN(3) == 0 {
+				folder, lost = "lose", true
+			}
+			add(t, "kill", g, folder)
+			add(until(t), "start", g)
+		case 3:
+			if busy[g] {
+				continue
+			}
+			busy[g] = true
+			add(t, "stop", g)
+			add(until(t), "cont", g)
+		case 4, 5: // a partition into two, or one way only
+			side := rng.Perm(p.Gateways)[:1+rng.IntN(p.Gateways-1)]
+			oneWay := rng.IntN(2) == 0
+			var pairs []string
+			for a := range p.Gateways {
+				for b := range p.Gateways {
+					if in := slices.Contains(side, a); in != slices.Contains(side, b) && (in || !oneWay) {
+						pairs = append(pairs, gateway(a)+">"+gateway(b))
+					}
+				}
+			}
+			add(t, "cut", pairs...)
+			add(until(t), "heal")
+		case 6:
+			breaks := "-"
+			if rng.IntN(2) == 0 {
+				breaks = "cut"
+			}
+			add(t, "bad", fmt.Sprintf("%.2f", 0.2*rng.Float64()), fmt.Sprintf("%.2f", 0.2*rng.Float64()), at(0, 40).String(), breaks)
+			add(until(t), "heal")
+		case 7:
+			add(t, "clock", g, strconv.Itoa(rng.IntN(60000)-30000))
+			add(t, "forge", any())
+		case 8:
+			m := machines[asks+rng.IntN(len(machines)-asks)]
+			if m[0] == 'b' && !busy[m] {
+				busy[m] = true
+				add(t, "crash", m)
+				add(until(t), "revive", m)
+			}
+		}
+	}
+	add(max(last, 9*time.Second)+100*time.Millisecond, "heal")
+	slices.SortStableFunc(p.Events, func(a, b Event) int { return int(a.At - b.At) })
+	return p
+}
--- /dev/null
+++ b/lab/procs/plot_test.go
@@ -0,0 +1,33 @@
+package procs
+
+import (
+	"strings"
+	"testing"
+)
+
+// A plot's text says all of it.
+func TestPlotsAreReadAsTheyAreWritten(t *testing.T) {
+	for seed := range uint64(300) {
+		p := Draw(seed)
+		again, err := Parse(p.String())
+		if err != nil {
+			t.Fatalf("seed %d: %v\n%s", seed, err, p)
+		}
+		if again.String() != p.String() {
+			t.Fatalf("seed %d:\n%s\n%s", seed, p, again)
+		}
+		if p.String() != Draw(seed).String() {
+			t.Fatalf("seed %d gives two plots", seed)
+		}
+	}
+}
+
+func TestBadPlotsAreRefusedByLine(t *testing.T) {
+	const head = "plot seed 1 gateways 3 boxes 4 for 8s\n"
+	for text, want := range map[string]string{"": "empty", "hello": "line 1", "plot seed 1 gateways 0 boxes 4 for 8s": "line 1", head + "at 1s jump g0": "line 2",
+		head + "at soon ask b0-0 g0": "line 2", head + "# a remark\nat 1s ask b0-0": "line 3", head + "ask": "line 2"} {
+		if _, err := Parse(text); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
--- a/lab/standin/journal.go
+++ b/lab/standin/journal.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"sync"
 	"time"
 )
 
@@ -15,6 +17,10 @@
 	Events    chan string // to be sent; an empty one ends the connection
 
 	server *http.Server
+	mu     sync.Mutex
+	replay bool
+	kept   []kept
+	more   chan struct{} // closed, and made anew, with each that is kept
 }
 
 // NewJournal starts a stand-in at an address, such as [Loopback].
@@ -32,6 +38,30 @@
 // Close ends the service and its connections.
 func (j *Journal) Close() { j.server.Close() }
 
+type kept struct {
+	pos  int
+	text string
+}
+
+// Replay has the service keep what it tells, and tell it again to those that connect with an older position.
+func (j *Journal) Replay() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.replay, j.more = true, make(chan struct{})
+}
+
+// after gives what was kept after a position, and what to wait on for more; nil: nothing is kept.
+func (j *Journal) after(pos int) (all []kept, more <-chan struct{}) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, k := range j.kept {
+		if k.pos > pos {
+			all = append(all, k)
+		}
+	}
+	return all, j.more
+}
+
 // ServeHTTP sends events until one is empty or the client leaves.
 func (j *Journal) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	if q.URL.Path != "/journal" || q.Method != http.MethodGet {
@@ -47,8 +77,19 @@
 	}
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
+	last, _ := strconv.Atoi(q.Header.Get("Last-Event-ID"))
 	for {
+		all, more := j.after(last)
+		for _, k := range all {
+			last = k.pos
+			_, _ = io.WriteString(w, k.text)
+		}
+		if len(all) > 0 {
+			w.(http.Flusher).Flush()
+		}
 		select {
+		case <-more:
+			continue
 		case e := <-j.Events:
 			if e == "" {
 				return
@@ -65,5 +106,15 @@
 
 // Tell sends one event. The rest is what follows its number, such as "expire":{...}.
 func (j *Journal) Tell(pos int, rest string) {
-	j.Events <- fmt.Sprintf("id: %d\ndata: {\"pos\":%d,%s}\n\n", pos, pos, rest)
+	text := fmt.Sprintf("id: %d\ndata: {\"pos\":%d,%s}\n\n", pos, pos, rest)
+	j.mu.Lock()
+	if j.replay {
+		j.kept = append(j.kept, kept{pos, text})
+		close(j.more)
+		j.more = make(chan struct{})
+		j.mu.Unlock()
+		return
+	}
+	j.mu.Unlock()
+	j.Events <- text
 }
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -51,6 +52,8 @@
 	Sockets  int      // 0: 1,024
 	Pin      int      // the core that the program is kept on; negative: any
 	Seed     string   // in hex
+	Host     string   // loopback address that the program listens at, 127.0.0.1 without
+	Replay   bool     // the journal service tells again what it told, to a program that starts anew
 }
 
 // World is a running one.
@@ -115,7 +118,10 @@
 	if w.Journal, err = standin.NewJournal(standin.Loopback); err != nil {
 		return err
 	}
-	if w.Addr, err = Free(); err != nil {
+	if cfg.Replay {
+		w.Journal.Replay()
+	}
+	if w.Addr, err = FreeAt(cfg.Host); err != nil {
 		return err
 	}
 	if w.dir, err = os.MkdirTemp("", "larchusher-lab"); err != nil {
@@ -219,8 +225,12 @@
 }
 
 // Free returns an address that nobody listens at.
-func Free() (string, error) {
-	l, err := net.Listen("tcp", standin.Loopback)
+func Free() (string, error) { return FreeAt("") }
+
+// FreeAt is Free at a loopback address of one's own, such as 127.77.0.1: the system gives its ports to nobody else meanwhile, as it
+// does with those of 127.0.0.1 to connections that go out. An empty one is 127.0.0.1.
+func FreeAt(host string) (string, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(cmp.Or(host, "127.0.0.1"), "0"))
 	if err != nil {
 		return "", err
 	}
