A zone without load may have work done; the model's clock keeps what is due later; measures of grants and rest

A gateway that has asked its caches nothing lately has no load there. lab/sim's Run took the first event beyond its end off the queue and dropped it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,6 +36,9 @@
 	return f
 }
 
+// Told says that reports tell how busy a store is, one way or the other.
+func (f Fields) Told() bool { return f.Share >= 0 || f.Held >= 0 }
+
 // Busy reads the share of a store's capacity in use from a report; false if that is not told. Slots is how many requests
 // the store can work on, 0 if nobody tells.
 func (f Fields) Busy(report []float64, slots float64) (float64, bool) {
--- a/cmd/larchusher-lab/procs.go
+++ b/cmd/larchusher-lab/procs.go
@@ -15,6 +15,9 @@
 type procsCmd struct {
 	Program string `help:"The gateway's program; the one beside this without." placeholder:"FILE"`
 	Plot    string `help:"Play the plot in this file." placeholder:"FILE"`
+	Rest    []int  `help:"Instead: what fleets of so many gateways send each other at rest, in simulated time."`
+	Grants  []int  `help:"Instead: how long a grant takes with so many gateways, without and with the first voter killed."`
+	Times   int    `help:"Grants measured of each." default:"60"`
 	Show    bool   `help:"Print the plots, and play none."`
 	Seed    uint64 `help:"Of the first drawn plot." default:"1"`
 	Plots   int    `help:"How many are drawn." default:"10"`
@@ -23,6 +26,16 @@
 
 // Run plays.
 func (c *procsCmd) Run() error {
+	if c.Program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		c.Program = filepath.Join(filepath.Dir(self), "larchusher")
+	}
+	if len(c.Rest)+len(c.Grants) > 0 {
+		return c.measure()
+	}
 	var plots []*procs.Plot
 	if c.Plot != "" {
 		text, err := os.ReadFile(c.Plot)
@@ -45,13 +58,6 @@
 		}
 		return nil
 	}
-	if c.Program == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		c.Program = filepath.Join(filepath.Dir(self), "larchusher")
-	}
 	var (
 		mu            sync.Mutex
 		all           sync.WaitGroup
@@ -109,3 +115,27 @@
 	}
 	return nil
 }
+
+// measure measures without faults.
+func (c *procsCmd) measure() error {
+	for _, n := range c.Rest {
+		r, err := procs.Rest(n, c.Seed)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%d gateways: one that does not vote %.1f messages and %.0f bytes a second, the busiest voter %.0f and %.0f; %.1f writes a second of all; all ready after %v, granted after %v, out after %v\n", n,
+			r.Messages, r.Bytes, r.VoterMessages, r.VoterBytes, r.Writes, r.Formed, r.Granted, r.Drained)
+	}
+	for _, n := range c.Grants {
+		for _, kill := range []bool{false, true} {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+			all, err := procs.Grants(ctx, c.Program, n, c.Times, kill)
+			cancel()
+			if err != nil {
+				return err
+			}
+			fmt.Printf("%d gateways, first voter killed before it: %v: %d grants, median %v, p99 %v\n", n, kill, len(all), all[len(all)/2].Round(time.Millisecond), all[len(all)*99/100].Round(time.Millisecond))
+		}
+	}
+	return nil
+}
--- a/control/observe.go
+++ b/control/observe.go
@@ -33,6 +33,8 @@
 		}
 		if busy, ok := s.load.Share(d.now); ok {
 			o.Busy = busy
+		} else if s.role == cache && s.zone == d.zone && d.loads.Told() && s.held.Out == 0 {
+			o.Busy = 0 // we have asked it nothing lately: no load of ours is there
 		}
 		all = append(all, o)
 	}
--- a/internal/net/fleetlink/frame.go
+++ b/internal/net/fleetlink/frame.go
@@ -50,6 +50,16 @@
 	return h.Sum(nil)
 }
 
+// Size is what a message takes on the wire, between members with names of such a length.
+func Size(m fleet.Message) int {
+	w := &writer{from: "gateway-00", to: "gateway-00"}
+	f, err := w.frame(m)
+	if err != nil {
+		return 0
+	}
+	return len(f)
+}
+
 // writer words the frames of one direction of a connection.
 type writer struct {
 	key, challenge []byte // the reader's
--- a/lab/procs/procs.go
+++ b/lab/procs/procs.go
@@ -196,17 +196,11 @@
 
 // Run plays a plot with a program.
 func Run(ctx context.Context, program string, plot *Plot) (*Verdict, error) {
-	dir, err := os.MkdirTemp("", "larchusher-procs")
+	p, err := start(ctx, program, plot)
 	if err != nil {
-		return nil, fmt.Errorf("procs: %w", err)
-	}
-	p := &play{plot: plot, dir: dir, program: program, faults: &faults{}, machines: map[string]*machine{}, relays: map[string]*relay{},
-		rng: rand.New(rand.NewPCG(plot.Seed, 99)), asked: map[string]time.Time{}, seen: map[string]work.Stage{}, took: map[string]time.Duration{}, texts: map[uint64]string{}}
-	defer p.close()
-	if err := p.build(ctx); err != nil {
 		return nil, err
 	}
-	p.began = time.Now()
+	defer p.close()
 	end := p.began.Add(plot.For)
 	for i, g := range p.gateways {
 		p.wg.Go(func() { g.clients.run(end, i+1) })
@@ -229,6 +223,22 @@
 	return p.verdict(ctx, ended), nil
 }
 
+// start starts the processes of a plot.
+func start(ctx context.Context, program string, plot *Plot) (*play, error) {
+	dir, err := os.MkdirTemp("", "larchusher-procs")
+	if err != nil {
+		return nil, fmt.Errorf("procs: %w", err)
+	}
+	p := &play{plot: plot, dir: dir, program: program, faults: &faults{}, machines: map[string]*machine{}, relays: map[string]*relay{},
+		rng: rand.New(rand.NewPCG(plot.Seed, 99)), asked: map[string]time.Time{}, seen: map[string]work.Stage{}, took: map[string]time.Duration{}, texts: map[uint64]string{}}
+	if err := p.build(ctx); err != nil {
+		p.close()
+		return nil, err
+	}
+	p.began = time.Now()
+	return p, nil
+}
+
 func wait(ctx context.Context, at time.Time) error {
 	t := time.NewTimer(time.Until(at))
 	defer t.Stop()
--- /dev/null
+++ b/lab/procs/rest.go
@@ -0,0 +1,219 @@
+package procs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"larchusher/agreement"
+	"larchusher/fleet"
+	"larchusher/internal/net/fleetlink"
+	"larchusher/lab/sim"
+	"larchusher/work"
+)
+
+// Resting is what a fleet sends each other in simulated time while nothing happens, a second.
+type Resting struct {
+	Gateways         int
+	Messages, Bytes  float64 // of a gateway that does not vote, sent and heard
+	VoterMessages    float64 // of the voter that sends the most
+	VoterBytes       float64
+	Formed           time.Duration // from the start of all at once until each has its first view
+	Writes           float64       // votes and views stored, of all
+	Granted, Drained time.Duration // of one request asked for afterwards: until it is granted, and out
+}
+
+// Rest drives the same packages as the daemon with so many gateways, over links of a millisecond, with 20 machines in each
+// one's report.
+func Rest(n int, seed uint64) (Resting, error) {
+	var (
+		clock = sim.Clock{Now: time.Second}
+		nodes = map[string]*fleet.Node{}
+		names []string
+		sent  = map[string][2]float64{}
+		out   = Resting{Gateways: n}
+		busy  bool
+		fault error
+	)
+	for i := range n {
+		names = append(names, fmt.Sprintf("gateway-%03d", i))
+	}
+	voters := names[:min(n, 5)]
+	if n < 5 {
+		voters = names[:min(n, 3)]
+	}
+	report := fleet.Report{Machines: map[string]work.Machine{}}
+	for i := range 20 {
+		report.Machines[fmt.Sprintf("box-%02d", i)] = work.Machine{Kind: work.KindBox, Zone: "z", Up: true, Warm: true, Weight: 10, Busy: 0.3}
+	}
+	var do func(name string, e fleet.Event)
+	do = func(name string, e fleet.Event) {
+		for _, a := range nodes[name].Handle(clock.Now, e, nil) {
+			switch a := a.(type) {
+			case fleet.Send:
+				size := float64(fleetlink.Size(a.Message))
+				if busy {
+					for _, who := range []string{name, a.To} {
+						sent[who] = [2]float64{sent[who][0] + 1, sent[who][1] + size}
+					}
+				}
+				if nodes[a.To] != nil {
+					clock.At(clock.Now+time.Millisecond, func() { do(a.To, fleet.Heard{From: name, Message: a.Message}) })
+				}
+			case fleet.StoreVote:
+				if busy {
+					out.Writes++
+				}
+				clock.At(clock.Now+2*time.Millisecond, func() { do(name, fleet.VoteStored{Number: a.Store.Number}) })
+			case fleet.StoreView:
+				clock.At(clock.Now+2*time.Millisecond, func() { do(name, fleet.ViewStored{Revision: a.Revision}) })
+			case fleet.Hold:
+				clock.At(clock.Now+50*time.Millisecond, func() { do(name, fleet.Idle{Generation: a.Generation}) })
+			}
+		}
+	}
+	for i, name := range names {
+		life := seed<<16 + uint64(i) + 1
+		node, err := fleet.New(fleet.Config{Self: name, Life: life, Members: names, Voters: voters, Vote: agreement.Vote{Life: life}, Lasts: true,
+			Clock: func() int64 { return int64(clock.Now / time.Millisecond) }, Gap: 40 * time.Millisecond, Seed: life})
+		if err != nil {
+			return out, err
+		}
+		nodes[name] = node
+		var tick func()
+		tick = func() {
+			do(name, fleet.Tick{})
+			clock.At(clock.Now+50*time.Millisecond, tick)
+		}
+		clock.At(clock.Now+time.Duration(i%50)*time.Millisecond, func() {
+			do(name, fleet.Seen{Report: report})
+			tick()
+		})
+	}
+	for until := clock.Now; out.Formed == 0 && until < time.Minute; {
+		until += 20 * time.Millisecond
+		clock.Run(until)
+		if !slices.ContainsFunc(names, func(n string) bool { return !nodes[n].Ready() }) {
+			out.Formed = clock.Now - time.Second
+		}
+	}
+	clock.Run(clock.Now + 10*time.Second)
+	busy = true
+	const long = 20
+	clock.Run(clock.Now + long*time.Second)
+	busy = false
+	for i, name := range names {
+		s := sent[name]
+		if i == n-1 {
+			out.Messages, out.Bytes = s[0]/long, s[1]/long
+		}
+		if s[1]/long > out.VoterBytes {
+			out.VoterMessages, out.VoterBytes = s[0]/long, s[1]/long
+		}
+	}
+	out.Writes /= long
+	value, err := json.Marshal(work.Command{Ask: &work.Ask{Key: "k", Machine: "box-01", ForMs: 1000}})
+	if err != nil {
+		return out, err
+	}
+	asked := clock.Now
+	for _, name := range names { // reports go stale, as they do in the daemon when they are not renewed
+		do(name, fleet.Seen{Report: report})
+	}
+	do(names[n-1], fleet.Heard{From: "tool-1", Message: fleet.Message{Kind: fleet.Order, ID: 1, Value: value}})
+	for until := asked; out.Drained == 0 && until < asked+30*time.Second; {
+		until += 5 * time.Millisecond
+		clock.Run(until)
+		if s := nodes[names[0]].State(); s != nil && len(s.Requests) > 0 {
+			if out.Granted == 0 {
+				out.Granted = clock.Now - asked
+			}
+			if s.Requests[0].Stage == work.Out {
+				out.Drained = clock.Now - asked
+			}
+		}
+	}
+	return out, fault
+}
+
+// Grants measures, with real processes and no machine worked on, how long it takes from asking to granted, as a tool sees it: kill has the
+// first voter killed right before every third request and started again after it.
+func Grants(ctx context.Context, program string, gateways, times int, kill bool) ([]time.Duration, error) {
+	p, err := start(ctx, program, &Plot{Seed: uint64(200 + gateways), Gateways: gateways, Boxes: 6, For: time.Hour})
+	if err != nil {
+		return nil, err
+	}
+	defer p.close()
+	state := func(g *process) *work.State {
+		m, err := p.order(ctx, g, fleet.Message{Query: "state"})
+		if err != nil || m.Refused != "" {
+			return nil
+		}
+		s, _ := work.Decode(m.Value)
+		return s
+	}
+	last := p.gateways[gateways-1]
+	for s := state(last); s == nil || len(s.Gateways) < gateways; s = state(last) {
+		if err := wait(ctx, time.Now().Add(50*time.Millisecond)); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(2 * time.Second)
+	var all []time.Duration
+	for n := range times {
+		dies := kill && n%3 == 2
+		name := box(0, n%6)
+		value, _ := json.Marshal(work.Command{By: "measure", Ask: &work.Ask{Key: fmt.Sprint("m", n), Machine: name, ForMs: 1000}})
+		if dies {
+			p.gateways[0].set(false)
+			if err := p.gateways[0].world.Kill(); err != nil {
+				return nil, err
+			}
+		}
+		began := time.Now()
+		taken := false
+		for granted := false; !granted; {
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
+			if !taken {
+				m, err := p.order(ctx, last, fleet.Message{Value: value})
+				taken = err == nil && m.Refused == ""
+				continue
+			}
+			if s := state(last); s != nil {
+				for _, r := range s.Requests {
+					granted = granted || r.Key == fmt.Sprint("m", n) && r.Stage != work.Asked
+				}
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		if !kill || dies {
+			all = append(all, time.Since(began))
+		}
+		if dies {
+			if err := p.gateways[0].world.Again(); err != nil {
+				return nil, err
+			}
+			if _, err := p.gateways[0].world.Logged(ctx, "msg=serving"); err != nil {
+				return nil, err
+			}
+			p.gateways[0].set(true)
+		}
+		value, _ = json.Marshal(work.Command{By: "measure", Withdraw: &work.Named{Name: name}})
+		for {
+			m, err := p.order(ctx, last, fleet.Message{Value: value})
+			if err == nil && m.Refused == "" || ctx.Err() != nil {
+				break
+			}
+		}
+		// It may have been called out meanwhile: then its work is over at once.
+		value, _ = json.Marshal(work.Command{By: "measure", Finish: &work.Named{Name: name}})
+		_, _ = p.order(ctx, last, fleet.Message{Value: value})
+		time.Sleep(1200 * time.Millisecond)
+	}
+	slices.Sort(all)
+	return all, nil
+}
--- a/lab/sim/sim.go
+++ b/lab/sim/sim.go
@@ -45,11 +45,8 @@
 
 // Run runs all that is due before a time, and what that puts there.
 func (c *Clock) Run(until time.Duration) {
-	for len(c.queue) > 0 {
+	for len(c.queue) > 0 && c.queue[0].at < until { // what is due later stays for the next call
 		d := heap.Pop(&c.queue).(due)
-		if d.at >= until {
-			return
-		}
 		c.Now = d.at
 		c.Done++
 		d.run()
