Cold budgets count what was really sent: small objects served first raised them fourfold

Cause: the budget counts each attempt as its class's mean, as the rule does, and so did what warm ones carried (learn, carry): since small objects are served first at a limit, they seemed to do several times what they can. Changed: what was carried is the request's own sending time, where that is less.

--- a/control/control.go
+++ b/control/control.go
@@ -565,11 +565,11 @@
 		d.land(r)
 		d.good(a.to)
 		a.to.passed = max(a.to.passed, a.sent)
-		a.to.carry(d.now, d.cost(r))
+		a.to.carry(d.now, d.did(r))
 		d.gauge(a.to.role)
 		if !hit && a.source != a.to {
 			if o.Note != NoteJoined {
-				a.source.carry(d.now, d.cost(r))
+				a.source.carry(d.now, d.did(r))
 			}
 			d.good(a.source)
 			a.source.passed = max(a.source.passed, a.sent)
@@ -707,6 +707,10 @@
 
 func (d *Director) cost(r *request) float64 { return r.class.work.Seconds() }
 
+// did is the work that serving a request shows a server can do. Guards against small objects, served first
+// where room is short, that count as their class's mean: servers seemed to do four times what they can.
+func (d *Director) did(r *request) float64 { return min(d.cost(r), r.work.Seconds()) }
+
 // Recheck says whether an attempt that waited, for its connection say, may still be written at the given
 // time, and with which age limit: its store or source may drain by now, or its object may have been purged.
 func (d *Director) Recheck(now time.Duration, id string, number int) (maxAge time.Duration, ok bool) {
--- a/control/deployments_test.go
+++ b/control/deployments_test.go
@@ -200,3 +200,21 @@
 		t.Error("asked twice in twenty seconds it is kept at the top rank")
 	}
 }
+
+// A server that serves small objects only does no more work for that: what it has carried is what was sent, so that the budget
+// of a cold one, which counts each attempt as its class's mean, does not grow by their number.
+func TestSmallObjectsDoNotRaiseColdBudgets(t *testing.T) {
+	r := newRig(t, untold)
+	for n := range 200 { // the class's mean
+		r.kb = 1200
+		r.after(20*ms).serve("film", fmt.Sprint("large", n%7), NoNote)
+	}
+	for n := range 400 { // twenty a second of a tenth of that, for 20 s
+		r.kb = 120
+		r.after(50*ms).serve("film", fmt.Sprint("small", n%7), NoNote)
+	}
+	r.d.gauge(cache)
+	if did, real := 4*r.d.carried[cache], 20*0.03; did > 1.5*real {
+		t.Errorf("four caches are taken to do %.2f s of work a second, and did %.2f", did, real)
+	}
+}
