--- a/control/deployments_test.go
+++ b/control/deployments_test.go
@@ -209,7 +209,7 @@
 		r.kb = 1200
 		r.after(20*ms).serve("film", fmt.Sprint("large", n%7), NoNote)
 	}
-	for n := range 400 { // twenty a second of a tenth of that, for 20 s
+	for n := range 100 { // twenty a second of a tenth of that, for 5 s
 		r.kb = 120
 		r.after(50*ms).serve("film", fmt.Sprint("small", n%7), NoNote)
 	}
