Work: upper caches bear what stays, by their load, before a machine is granted

Now no box or upper cache is granted while the load that the upper caches report is over full of what would stay; where they report nothing, as before.

--- a/work/order.go
+++ b/work/order.go
@@ -254,6 +254,7 @@
 	type zone struct{ all, down int }
 	zones := map[string]*zone{}
 	all, gone, left, weight, load, blind := 0, 0, 0, 0.0, 0.0, false
+	upper, carried, told := 0.0, 0.0, true // what warm upper caches can do, how much of that is in use, and whether all say so
 	for _, name := range slices.Sorted(maps.Keys(o.Machines)) {
 		m := o.Machines[name]
 		_, away := stages[name]
@@ -268,6 +269,12 @@
 				z.down++
 			}
 		}
+		if m.Kind == KindParent && m.Up {
+			if carried += max(0, m.Busy) * m.Weight; m.Warm && !away && name != r.Machine {
+				upper += m.Weight
+			}
+			told = told && m.Busy >= 0
+		}
 		if m.Kind != own.Kind || m.Zone != own.Zone {
 			continue
 		}
@@ -310,6 +317,10 @@
 			return fmt.Sprintf("the load of %s, %.1f, is over %.2f of what would stay, %.1f", own.Zone, load, b.Full, weight)
 		}
 	}
+	if own.Kind != KindGateway && told && carried > b.Full*upper {
+		// Guards against a machine that comes back empty: what it has lost is fetched by way of those.
+		return fmt.Sprintf("the load of the upper caches, %.1f, is over %.2f of what would stay, %.1f", carried, b.Full, upper)
+	}
 	if gone > 0 && gone+1 > int(b.ZoneShare*float64(all)) {
 		return fmt.Sprintf("%d of %d machines of its kind in %s are out or cold", gone, all, own.Zone)
 	}
--- a/work/work_test.go
+++ b/work/work_test.go
@@ -81,6 +81,15 @@
 	return ""
 }
 
+// fill has all machines of a kind report a load.
+func fill(o *Observed, kind string, busy float64) {
+	for n, m := range o.Machines {
+		if m.Busy = busy; m.Kind == kind {
+			o.Machines[n] = m
+		}
+	}
+}
+
 // each bound by itself holds a machine back, and says so.
 func TestEachBoundHoldsBack(t *testing.T) {
 	for _, c := range []struct {
@@ -111,6 +120,10 @@
 		{"two have to stay", "p0", nil, func(b *Bounds) { b.Parents = 2 }, nil, "1 warm upper caches would stay"},
 		{"the other gateway", "g00", nil, func(b *Bounds) { b.ZoneShare = 0.99 }, []string{"g01"}, "no other gateway"},
 		{"a gateway", "g00", nil, nil, nil, ""},
+		{"upper caches at their load", "p0", func(o *Observed) { fill(o, KindParent, 0.44) }, func(b *Bounds) { b.ZoneShare = 0.99 }, nil, "the load of the upper caches, 17.6"},
+		{"a box would come back empty before them", "b00", func(o *Observed) { fill(o, KindParent, 0.9) }, nil, nil, "the load of the upper caches, 36.0"},
+		{"one of them is out already", "b00", func(o *Observed) { fill(o, KindParent, 0.44) }, nil, []string{"p1"}, "the load of the upper caches"},
+		{"they tell nothing", "b00", func(o *Observed) { fill(o, KindParent, -1) }, nil, nil, ""},
 		{"a zone is away", "p0", func(o *Observed) {
 			for _, n := range []string{"b10", "b11", "b12", "b13"} {
 				m := o.Machines[n]
