--- a/cmd/larchusher-lab/procs.go
+++ b/cmd/larchusher-lab/procs.go
@@ -2,26 +2,35 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"larchusher/lab/plot"
 	"larchusher/lab/procs"
+	"larchusher/work"
 )
 
 type procsCmd struct {
-	Program string `help:"The gateway's program; the one beside this without." placeholder:"FILE"`
-	Plot    string `help:"Play the plot in this file." placeholder:"FILE"`
-	Rest    []int  `help:"Instead: what fleets of so many gateways send each other at rest, in simulated time."`
-	Grants  []int  `help:"Instead: how long a grant takes with so many gateways, without and with the first voter killed."`
-	Times   int    `help:"Grants measured of each." default:"60"`
-	Show    bool   `help:"Print the plots, and play none."`
-	Seed    uint64 `help:"Of the first drawn plot." default:"1"`
-	Plots   int    `help:"How many are drawn." default:"10"`
-	Jobs    int    `help:"How many are played at once." default:"4"`
+	Program string   `help:"The gateway's program; the one beside this without." placeholder:"FILE"`
+	Plot    string   `help:"Play the plot in this file." placeholder:"FILE"`
+	Named   []string `help:"Play these of the written plots; all: each of them."`
+	Mutants string   `help:"Instead: take one rule after another out of the program of the repository at this place, and see that a plot finds it." placeholder:"DIR"`
+	Rest    []int    `help:"Instead: what fleets of so many gateways send each other at rest, in simulated time."`
+	Grants  []int    `help:"Instead: how long a grant takes with so many gateways, without and with the first voter killed."`
+	Plan    int      `help:"Instead: a plan of forty machines against fixed timetables in simulated time, over so many seeds." placeholder:"SEEDS"`
+	Draw    string   `help:"With --plan: write what came of it as a picture." placeholder:"FILE"`
+	Times   int      `help:"Grants measured of each." default:"60"`
+	Show    bool     `help:"Print the plots, and play none."`
+	Seed    uint64   `help:"Of the first drawn plot." default:"1"`
+	Plots   int      `help:"How many are drawn." default:"10"`
+	Jobs    int      `help:"How many are played at once." default:"4"`
 }
 
 // Run plays.
@@ -33,11 +42,27 @@
 		}
 		c.Program = filepath.Join(filepath.Dir(self), "larchusher")
 	}
+	if c.Plan > 0 {
+		return c.plan()
+	}
 	if len(c.Rest)+len(c.Grants) > 0 {
 		return c.measure()
 	}
+	if c.Mutants != "" {
+		return c.mutate()
+	}
 	var plots []*procs.Plot
-	if c.Plot != "" {
+	if len(c.Named) > 0 {
+		named, err := procs.Named()
+		if err != nil {
+			return err
+		}
+		for _, name := range slices.Sorted(maps.Keys(named)) {
+			if slices.Contains(c.Named, name) || slices.Contains(c.Named, "all") {
+				plots = append(plots, named[name])
+			}
+		}
+	} else if c.Plot != "" {
 		text, err := os.ReadFile(c.Plot)
 		if err != nil {
 			return err
@@ -69,7 +94,7 @@
 	for range max(1, c.Jobs) {
 		all.Go(func() {
 			for p := range next {
-				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+				ctx, cancel := context.WithTimeout(context.Background(), p.For+100*time.Second)
 				v, err := procs.Run(ctx, c.Program, p)
 				cancel()
 				mu.Lock()
@@ -116,6 +141,57 @@
 	return nil
 }
 
+// mutate has the plots find rules that were taken out.
+func (c *procsCmd) mutate() error {
+	escaped, fail := 0, []error(nil)
+	for _, m := range procs.Mutants {
+		found, err := c.catch(m)
+		if err != nil {
+			fail = append(fail, err)
+			continue
+		}
+		if found == "" {
+			escaped++
+			found = "ESCAPED"
+		}
+		fmt.Printf("%s: %s\n", m.Name, found)
+	}
+	if escaped > 0 {
+		fail = append(fail, fmt.Errorf("%d of %d mutants escaped", escaped, len(procs.Mutants)))
+	}
+	return errors.Join(fail...)
+}
+
+// catch plays plots until one finds the mutant, and says how; empty: none did.
+func (c *procsCmd) catch(m procs.Mutant) (string, error) {
+	dir, err := os.MkdirTemp("", "larchusher-mutant")
+	if err != nil {
+		return "", err
+	}
+	defer os.RemoveAll(dir)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+	defer cancel()
+	program, err := m.Build(ctx, c.Mutants, dir)
+	if err != nil {
+		return "", err
+	}
+	plots, err := m.Plots(c.Plots)
+	if err != nil {
+		return "", err
+	}
+	for i, p := range plots {
+		v, err := procs.Run(ctx, program, p)
+		if err != nil {
+			return "", fmt.Errorf("mutant %q: %w", m.Name, err)
+		}
+		if len(v.Faults) > 0 {
+			line, _, _ := strings.Cut(v.Faults[0], "\n")
+			return fmt.Sprintf("found by plot %d (seed %d): %.160s", i+1, p.Seed, line), nil
+		}
+	}
+	return "", nil
+}
+
 // measure measures without faults.
 func (c *procsCmd) measure() error {
 	for _, n := range c.Rest {
@@ -139,3 +215,59 @@
 	}
 	return nil
 }
+
+// plan compares ways of settling work on forty machines.
+func (c *procsCmd) plan() error {
+	type way struct {
+		name string
+		play func(seed uint64) (procs.Planned, error)
+	}
+	var ways []way
+	for _, slot := range []time.Duration{40 * time.Second, 50 * time.Second, 60 * time.Second, 80 * time.Second, 110 * time.Second, 150 * time.Second} {
+		ways = append(ways, way{"timetable " + slot.String(), func(seed uint64) (procs.Planned, error) { return procs.Timetable(seed, slot), nil }})
+	}
+	for _, n := range []int{2, 4, 6, 9} {
+		ways = append(ways, way{fmt.Sprint("settled, at_once ", n), func(seed uint64) (procs.Planned, error) {
+			return procs.Settled(seed, work.Bounds{AtOnce: n})
+		}})
+	}
+	lines := []plot.Line{{Name: "fixed timetables"}, {Name: "settled by gateways"}}
+	for i, w := range ways {
+		var sum procs.Planned
+		worst := 1.0
+		all, errs := make([]procs.Planned, c.Plan), make([]error, c.Plan)
+		var wait sync.WaitGroup
+		next := make(chan int)
+		for range max(1, c.Jobs) {
+			wait.Go(func() {
+				for n := range next {
+					all[n], errs[n] = w.play(c.Seed + uint64(n))
+				}
+			})
+		}
+		for n := range c.Plan {
+			next <- n
+		}
+		close(next)
+		wait.Wait()
+		if err := errors.Join(errs...); err != nil {
+			return err
+		}
+		for _, p := range all {
+			sum.Served, sum.Worst, sum.Ended, sum.Over = sum.Served+p.Served, sum.Worst+p.Worst, sum.Ended+p.Ended, sum.Over+p.Over
+			worst = min(worst, p.Worst)
+		}
+		k := float64(c.Plan)
+		fmt.Printf("%s: served in aim %.4f, worst ten seconds %.3f in the mean and %.3f at the least, %v to the end, %.1f s with no room in a zone\n", w.name, sum.Served/k, sum.Worst/k, worst,
+			(sum.Ended / time.Duration(c.Plan)).Round(time.Second), float64(sum.Over)/k)
+		l := &lines[0]
+		if i >= len(ways)-4 {
+			l = &lines[1]
+		}
+		l.XY = append(l.XY, [2]float64{(sum.Ended / time.Duration(c.Plan)).Minutes(), sum.Worst / k})
+	}
+	if c.Draw == "" {
+		return nil
+	}
+	return plot.Draw(c.Draw, "Forty machines, load 0.6", "minutes to the end", "worth in aim, worst ten seconds", lines)
+}
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -37,7 +37,11 @@
 	bytes   int
 	replies map[uint64]Message
 	serial  uint64
-	log     []string
+
+	befall  func(from, to string) bool // nil: nothing befalls a message
+	counted int                        // messages between nodes
+	twice   bool                       // the next one
+	late    time.Duration
 }
 
 type box struct {
@@ -116,7 +120,9 @@
 		if !m.stopped {
 			w.do(m, Seen{w.report(m)})
 			w.do(m, Tick{})
-			w.serve(m)
+			if m.epoch == epoch {
+				w.serve(m)
+			}
 		}
 		w.clock.At(w.clock.Now+50*time.Millisecond, tick)
 	}
@@ -165,8 +171,14 @@
 }
 
 func (w *world) do(m *member, e Event) {
+	if m.node == nil {
+		return
+	}
 	epoch := m.epoch
 	for _, a := range m.node.Handle(w.local(m), e, nil) {
+		if m.epoch != epoch { // it crashed over one of them
+			return
+		}
 		switch a := a.(type) {
 		case Send:
 			w.send(m.name, a.To, a.Message)
@@ -209,7 +221,7 @@
 		case Audit:
 		}
 	}
-	if m.node.voter != nil {
+	if m.epoch == epoch && m.node.voter != nil {
 		w.learned(m)
 	}
 }
@@ -286,15 +298,22 @@
 
 func (w *world) send(from, to string, m Message) {
 	w.sent++
+	if w.befall != nil && !w.befall(from, to) {
+		return
+	}
 	if w.cut[[2]string{from, to}] || w.rng.Float64() < w.loss {
 		return
 	}
-	times := 1
+	times, late := 1, w.late
+	w.late = 0
+	if w.twice {
+		times, w.twice = 2, false
+	}
 	if w.rng.Float64() < w.double {
 		times = 2
 	}
 	for range times {
-		w.clock.At(w.clock.Now+time.Duration(200+w.rng.IntN(4000))*time.Microsecond, func() {
+		w.clock.At(w.clock.Now+late+time.Duration(200+w.rng.IntN(4000))*time.Microsecond, func() {
 			if g := w.nodes[to]; g != nil && g.node != nil {
 				if g.stopped {
 					g.inbox = append(g.inbox, Heard{from, m})
--- a/lab/procs/clients.go
+++ b/lab/procs/clients.go
@@ -16,6 +16,7 @@
 	class string
 
 	mu       sync.Mutex
+	resting  bool // they ask nothing
 	excused  bool // the gateway was killed or stopped: what it leaves open is no fault
 	Asked    int
 	Served   int
@@ -58,6 +59,14 @@
 		e := rpc.NewEncoder(conn)
 		id := uint32(0)
 		for time.Now().Before(until) {
+			if c.rests() {
+				select {
+				case <-ended:
+				case <-time.After(c.every):
+					continue
+				}
+				break
+			}
 			n++
 			id++
 			c.mu.Lock()
@@ -139,6 +148,19 @@
 	}
 }
 
+// rest has them ask nothing for a while; what is open is to be answered.
+func (c *clients) rest(yes bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resting = yes
+}
+
+func (c *clients) rests() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.resting
+}
+
 // excuse says whether what is lost from now on is the plot's doing.
 func (c *clients) excuse(yes bool) {
 	c.mu.Lock()
--- /dev/null
+++ b/lab/procs/mutants.go
@@ -0,0 +1,156 @@
+package procs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+)
+
+// Mutant is the program with one rule taken out of it. A plot's checker that has never been seen to fail proves nothing: each
+// mutant has to be caught by some plot.
+type Mutant struct {
+	Name string
+	File string // in the repository
+	Old  string // stands there once
+	New  string
+	Plot string // the written plot that is made for it; empty: drawn ones
+	Text string // or this one
+}
+
+// cutBefore has one gateway cut off from the others before two machines are asked out.
+const cutBefore = `plot seed 401 gateways 3 boxes 4 for 12s
+at 1.5s cut g2>g0 g2>g1 g0>g2 g1>g2
+at 1.7s ask b0-0 g0
+at 1.8s ask b1-0 g1
+at 8s heal`
+
+// crowded asks for more than may be out at once.
+const crowded = `plot seed 402 gateways 3 boxes 12 for 12s
+at 1s ask b0-0 g0
+at 1s ask b0-1 g1
+at 1s ask b0-2 g2
+at 1s ask b0-3 g0
+at 1s ask b1-0 g1
+at 1s ask b1-1 g2
+at 1s ask b1-2 g0
+at 1s ask b1-3 g1
+at 9s heal`
+
+// parting cuts the voters into one and two, and back, while both sides are asked.
+const parting = `plot seed 403 gateways 3 boxes 8 for 12s
+at 1.5s cut g0>g1 g0>g2 g1>g0 g2>g0
+at 1.6s ask b0-0 g0
+at 1.7s ask b1-0 g1
+at 2s ask b0-1 g0
+at 2.2s ask b1-1 g2
+at 5s heal
+at 9s heal`
+
+// Mutants are the rules whose loss the plots must find. That one upper cache has to stay is not among them: the share of a zone
+// and the load of the upper caches hold it by themselves.
+var Mutants = []Mutant{
+	{Name: "a drain begins though a gateway has not heard of the grant", File: "work/order.go", Old: "if g.Heard < r.Epoch {", New: "if false && g.Heard < r.Epoch {", Text: cutBefore},
+	{Name: "a machine is called out though a gateway has not stopped", File: "work/order.go", Old: "} else if !span.Lapsed {", New: "} else if false {", Plot: "stopped"},
+	{Name: "what is held is sent to all the same", File: "work/work.go", Old: "held[r.Machine] = true\n\t\t}\n\t}\n\treturn held", New: "_ = held\n\t\t}\n\t}\n\treturn held", Text: crowded},
+	{Name: "any number is out at once", File: "work/order.go", Old: "if out >= b.AtOnce {", New: "if false {", Text: crowded},
+	{Name: "any share of a zone is out", File: "work/order.go", Old: "if gone > 0 && gone+1 >", New: "if false && gone+1 >", Text: crowded},
+	{Name: "half of the voters are a majority", File: "agreement/agreement.go", Old: "return n > len(v.cfg.Voters)/2", New: "return n >= len(v.cfg.Voters)/2", Text: parting},
+	{Name: "a lease never runs out", File: "fleet/fleet.go", Old: "n.lease = max(n.lease, at+n.cfg.Bounds.Lease)", New: "n.lease = max(n.lease, at+time.Hour)", Text: unheard},
+	{Name: "a gateway is idle while work is out at what it holds", File: "gateway/hold.go", Old: "if !a.ended && (stores", New: "if false && (stores", Text: slowStores},
+	{Name: "a start forgets what was granted", File: "internal/fleethost/host.go", Old: "if nc.View, err = readFile(dir, viewFile, h.cfg.Key); err == nil && nc.View != nil {", New: "nc.View = []byte(\"{}\")\n\tif nc.View != nil {", Text: forgetful},
+}
+
+// slowStores has machines go out while their answers take long.
+const slowStores = `plot seed 404 gateways 3 boxes 4 for 12s
+at 500ms slowly 900ms
+at 1.5s ask b0-0 g0
+at 1.6s ask b1-0 g1
+at 3s ask b0-1 g2
+at 7s slowly 2ms
+at 9s heal`
+
+// forgetful kills a gateway that has heard of a grant, cuts it off, and starts it again.
+const forgetful = `plot seed 405 gateways 3 boxes 4 for 14s
+at 1.5s ask b0-0 g0
+at 1.5s ask b1-0 g1
+at 2.1s cut g2>g0 g2>g1 g0>g2 g1>g2
+at 2.15s kill g2 keep
+at 2.4s start g2
+at 6s heal
+at 6.1s ask b0-1 g0
+at 6.1s ask b1-1 g1
+at 6.6s cut g2>g0 g2>g1 g0>g2 g1>g2
+at 6.65s kill g2 keep
+at 6.9s start g2
+at 9.5s heal`
+
+// unheard cuts a gateway off that has heard of grants, before it hears of the drains.
+const unheard = `plot seed 406 gateways 3 boxes 6 for 12s
+at 1.5s ask b0-0 g0
+at 1.7s ask b1-0 g1
+at 1.9s ask b0-1 g0
+at 2.2s cut g2>g0 g2>g1 g0>g2 g1>g2
+at 8s heal`
+
+// Build builds the program of a mutant from the repository at root into dir. The tree stays as it is.
+func (m Mutant) Build(ctx context.Context, root, dir string) (program string, err error) {
+	path, err := filepath.Abs(filepath.Join(root, m.File))
+	if err != nil {
+		return "", err
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("mutant %q: %w", m.Name, err)
+	}
+	if n := strings.Count(string(text), m.Old); n != 1 {
+		return "", fmt.Errorf("mutant %q: what it changes stands %d times in %s", m.Name, n, m.File)
+	}
+	changed, overlay := filepath.Join(dir, "changed.go"), filepath.Join(dir, "overlay.json")
+	if err := os.WriteFile(changed, []byte(strings.Replace(string(text), m.Old, m.New, 1)), 0o600); err != nil {
+		return "", err
+	}
+	list, err := json.Marshal(map[string]map[string]string{"Replace": {path: changed}})
+	if err != nil {
+		return "", err
+	}
+	if err := os.WriteFile(overlay, list, 0o600); err != nil {
+		return "", err
+	}
+	program = filepath.Join(dir, "larchusher")
+	cmd := exec.CommandContext(ctx, "go", "build", "-overlay", overlay, "-ldflags=-linkmode=external", "-o", program, "./cmd/larchusher")
+	cmd.Dir = root
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("mutant %q: %w\n%s", m.Name, err, out)
+	}
+	return program, nil
+}
+
+// Plots are what a mutant is played by, in order, until one catches it.
+func (m Mutant) Plots(drawn int) ([]*Plot, error) {
+	var all []*Plot
+	switch {
+	case m.Text != "":
+		p, err := Parse(m.Text)
+		if err != nil {
+			return nil, fmt.Errorf("mutant %q: %w", m.Name, err)
+		}
+		all = append(all, p)
+	case m.Plot != "":
+		named, err := Named()
+		if err != nil {
+			return nil, err
+		}
+		if named[m.Plot] == nil {
+			return nil, fmt.Errorf("mutant %q: no plot %q", m.Name, m.Plot)
+		}
+		all = append(all, named[m.Plot])
+	}
+	for i := range drawn {
+		all = append(all, Draw(uint64(1+i)))
+	}
+	return all, nil
+}
--- a/lab/procs/plot.go
+++ b/lab/procs/plot.go
@@ -5,7 +5,9 @@
 
 import (
 	"bufio"
+	"embed"
 	"fmt"
+	"io/fs"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -34,18 +36,44 @@
 	"ask":    2,  // machine, gateway that is asked
 	"kill":   2,  // gateway, "keep" or "lose" its folder: it starts anew with the event "start"
 	"start":  1,  // gateway
+	"roll":   1,  // gateway: SIGTERM; once it has ended it starts anew
 	"stop":   1,  // gateway: SIGSTOP
 	"cont":   1,  // gateway: SIGCONT
 	"cut":    -1, // pairs a>b: nothing goes that way
 	"heal":   0,  // all cuts and bad links
 	"bad":    4,  // share lost, share doubled, delay up to, "cut" to break off within messages now and then, or "-"
 	"slow":   1,  // bytes a second on every link
+	"slowly": 1,  // how long every store takes over an answer
 	"clock":  2,  // gateway, milliseconds that its wall clock is off
 	"crash":  1,  // box: it dies, and is told to be gone
 	"revive": 1,  // box: it is back, cold
 	"forge":  1,  // gateway that is sent forged and malformed bytes
 }
 
+//go:embed plots/*.plot
+var written embed.FS
+
+// Named are the plots that were written for one hard case each, by name.
+func Named() (map[string]*Plot, error) {
+	all := map[string]*Plot{}
+	err := fs.WalkDir(written, "plots", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return err
+		}
+		text, err := written.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		p, err := Parse(string(text))
+		if err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		all[strings.TrimSuffix(d.Name(), ".plot")] = p
+		return nil
+	})
+	return all, err
+}
+
 // String is a plot's text form.
 func (p *Plot) String() string {
 	var b strings.Builder
--- a/lab/procs/procs.go
+++ b/lab/procs/procs.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -55,6 +56,7 @@
 	mu     sync.Mutex
 	store  *standin.Store
 	out    bool // it is being worked on
+	busy   int  // answers under way
 	cold   time.Time
 	faults *faults
 	since  int64
@@ -86,6 +88,8 @@
 	relays   map[string]*relay
 	rng      *rand.Rand
 
+	takes atomic.Int64 // nanoseconds that a store takes over an answer
+
 	mu    sync.Mutex
 	asked map[string]time.Time
 	seen  map[string]work.Stage
@@ -143,6 +147,7 @@
 func (p *play) answer(m *machine, a *standin.Ask) {
 	m.mu.Lock()
 	out, cold := m.out, time.Since(m.cold) < ramp
+	m.busy++
 	m.mu.Unlock()
 	from := a.Fields["name"]
 	if out {
@@ -159,7 +164,12 @@
 	if cold {
 		busy = "cpu_share:0.50;x1:0.2;x0:0.1"
 	}
-	time.AfterFunc(2*time.Millisecond, func() { a.ServeWith("warm", busy, standin.Content(from, a.Fields["piece"])) })
+	time.AfterFunc(time.Duration(p.takes.Load()), func() {
+		m.mu.Lock()
+		m.busy--
+		m.mu.Unlock()
+		a.ServeWith("warm", busy, standin.Content(from, a.Fields["piece"]))
+	})
 }
 
 // tell has all journal services tell of a machine, each in its own time.
@@ -231,6 +241,7 @@
 	}
 	p := &play{plot: plot, dir: dir, program: program, faults: &faults{}, machines: map[string]*machine{}, relays: map[string]*relay{},
 		rng: rand.New(rand.NewPCG(plot.Seed, 99)), asked: map[string]time.Time{}, seen: map[string]work.Stage{}, took: map[string]time.Duration{}, texts: map[uint64]string{}}
+	p.takes.Store(int64(2 * time.Millisecond))
 	if err := p.build(ctx); err != nil {
 		p.close()
 		return nil, err
@@ -373,6 +384,28 @@
 			g.clients.excuse(false)
 			g.set(true)
 		})
+	case "roll":
+		g := find(e.Args[0])
+		g.clients.rest(true) // as those do that are told of a drain
+		g.set(false)
+		if err := g.world.Signal(syscall.SIGTERM); err != nil {
+			return err
+		}
+		p.wg.Go(func() {
+			if err := g.world.Ended(ctx); err != nil {
+				p.faults.add("%s does not end by SIGTERM: %v", g.name, err)
+				return
+			}
+			g.clients.rest(false)
+			if err := g.world.Again(); err != nil {
+				p.faults.add("%s: %v", g.name, err)
+				return
+			}
+			if _, err := g.world.Logged(ctx, "msg=serving"); err != nil {
+				p.faults.add("%s does not start again: %v", g.name, err)
+			}
+			g.set(true)
+		})
 	case "stop":
 		g := find(e.Args[0])
 		g.clients.excuse(true)
@@ -412,6 +445,10 @@
 			r.set(func(r *relay) { r.rate = n })
 		}
 		return err
+	case "slowly":
+		d, err := time.ParseDuration(e.Args[0])
+		p.takes.Store(int64(d))
+		return err
 	case "clock":
 		return os.WriteFile(find(e.Args[0]).clock, []byte(e.Args[1]), 0o600)
 	case "crash":
@@ -587,6 +624,10 @@
 func (p *play) begin(m *machine) {
 	m.mu.Lock()
 	m.out = true
+	if m.busy > 0 && !slices.ContainsFunc(p.plot.Events, func(e Event) bool { return e.What == "kill" || e.What == "stop" }) {
+		// What a gateway that is gone had sent may still be there.
+		p.faults.add("%s is called out with %d answers under way", m.name, m.busy)
+	}
 	m.mu.Unlock()
 	long := time.Duration(300+p.rng.IntN(700)) * time.Millisecond // the lock is held
 	p.wg.Go(func() {
--- a/lab/procs/rest.go
+++ b/lab/procs/rest.go
@@ -25,86 +25,131 @@
 	Granted, Drained time.Duration // of one request asked for afterwards: until it is granted, and out
 }
 
-// Rest drives the same packages as the daemon with so many gateways, over links of a millisecond, with 20 machines in each
-// one's report.
-func Rest(n int, seed uint64) (Resting, error) {
-	var (
-		clock = sim.Clock{Now: time.Second}
-		nodes = map[string]*fleet.Node{}
-		names []string
-		sent  = map[string][2]float64{}
-		out   = Resting{Gateways: n}
-		busy  bool
-		fault error
-	)
+// simulated is a fleet in simulated time, over links of a millisecond: the same packages as in the daemon.
+type simulated struct {
+	clock  sim.Clock
+	nodes  map[string]*fleet.Node
+	names  []string
+	bounds work.Bounds
+	report func(name string) fleet.Report
+	sent   func(from, to string, bytes int) // nil: nobody counts
+	wrote  func()                           // likewise
+	reply  func(m fleet.Message)            // to a tool; nil: nobody reads it
+}
+
+// simulate starts so many gateways at once. Reports are made every half second.
+func simulate(n int, seed uint64, bounds work.Bounds, report func(name string) fleet.Report) (*simulated, error) {
+	f := &simulated{clock: sim.Clock{Now: time.Second}, nodes: map[string]*fleet.Node{}, bounds: bounds, report: report}
 	for i := range n {
-		names = append(names, fmt.Sprintf("gateway-%03d", i))
+		f.names = append(f.names, fmt.Sprintf("gateway-%03d", i))
 	}
-	voters := names[:min(n, 5)]
+	voters := f.names[:min(n, 5)]
 	if n < 5 {
-		voters = names[:min(n, 3)]
+		voters = f.names[:min(n, 3)]
 	}
-	report := fleet.Report{Machines: map[string]work.Machine{}}
-	for i := range 20 {
-		report.Machines[fmt.Sprintf("box-%02d", i)] = work.Machine{Kind: work.KindBox, Zone: "z", Up: true, Warm: true, Weight: 10, Busy: 0.3}
-	}
-	var do func(name string, e fleet.Event)
-	do = func(name string, e fleet.Event) {
-		for _, a := range nodes[name].Handle(clock.Now, e, nil) {
-			switch a := a.(type) {
-			case fleet.Send:
-				size := float64(fleetlink.Size(a.Message))
-				if busy {
-					for _, who := range []string{name, a.To} {
-						sent[who] = [2]float64{sent[who][0] + 1, sent[who][1] + size}
-					}
-				}
-				if nodes[a.To] != nil {
-					clock.At(clock.Now+time.Millisecond, func() { do(a.To, fleet.Heard{From: name, Message: a.Message}) })
-				}
-			case fleet.StoreVote:
-				if busy {
-					out.Writes++
-				}
-				clock.At(clock.Now+2*time.Millisecond, func() { do(name, fleet.VoteStored{Number: a.Store.Number}) })
-			case fleet.StoreView:
-				clock.At(clock.Now+2*time.Millisecond, func() { do(name, fleet.ViewStored{Revision: a.Revision}) })
-			case fleet.Hold:
-				clock.At(clock.Now+50*time.Millisecond, func() { do(name, fleet.Idle{Generation: a.Generation}) })
-			}
-		}
-	}
-	for i, name := range names {
+	for i, name := range f.names {
 		life := seed<<16 + uint64(i) + 1
-		node, err := fleet.New(fleet.Config{Self: name, Life: life, Members: names, Voters: voters, Vote: agreement.Vote{Life: life}, Lasts: true,
-			Clock: func() int64 { return int64(clock.Now / time.Millisecond) }, Gap: 40 * time.Millisecond, Seed: life})
+		node, err := fleet.New(fleet.Config{Self: name, Life: life, Members: f.names, Voters: voters, Vote: agreement.Vote{Life: life}, Lasts: true, Bounds: bounds,
+			Clock: func() int64 { return int64(f.clock.Now / time.Millisecond) }, Gap: 40 * time.Millisecond, Seed: life})
 		if err != nil {
-			return out, err
+			return nil, err
 		}
-		nodes[name] = node
+		f.nodes[name] = node
+		ticks := 0
 		var tick func()
 		tick = func() {
-			do(name, fleet.Tick{})
-			clock.At(clock.Now+50*time.Millisecond, tick)
+			if ticks%10 == 0 {
+				f.do(name, fleet.Seen{Report: report(name)})
+			}
+			ticks++
+			f.do(name, fleet.Tick{})
+			f.clock.At(f.clock.Now+50*time.Millisecond, tick)
+		}
+		f.clock.At(f.clock.Now+time.Duration(i%50)*time.Millisecond, tick)
+	}
+	return f, nil
+}
+
+func (f *simulated) do(name string, e fleet.Event) {
+	for _, a := range f.nodes[name].Handle(f.clock.Now, e, nil) {
+		switch a := a.(type) {
+		case fleet.Send:
+			if f.sent != nil {
+				f.sent(name, a.To, fleetlink.Size(a.Message))
+			}
+			switch {
+			case f.nodes[a.To] != nil:
+				f.clock.At(f.clock.Now+time.Millisecond, func() { f.do(a.To, fleet.Heard{From: name, Message: a.Message}) })
+			case f.reply != nil:
+				f.reply(a.Message)
+			}
+		case fleet.StoreVote:
+			if f.wrote != nil {
+				f.wrote()
+			}
+			f.clock.At(f.clock.Now+2*time.Millisecond, func() { f.do(name, fleet.VoteStored{Number: a.Store.Number}) })
+		case fleet.StoreView:
+			f.clock.At(f.clock.Now+2*time.Millisecond, func() { f.do(name, fleet.ViewStored{Revision: a.Revision}) })
+		case fleet.Hold:
+			f.clock.At(f.clock.Now+50*time.Millisecond, func() { f.do(name, fleet.Idle{Generation: a.Generation}) })
 		}
-		clock.At(clock.Now+time.Duration(i%50)*time.Millisecond, func() {
-			do(name, fleet.Seen{Report: report})
-			tick()
-		})
 	}
-	for until := clock.Now; out.Formed == 0 && until < time.Minute; {
+}
+
+// order sends a command to a gateway as a tool does.
+func (f *simulated) order(to string, c work.Command) error {
+	value, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	f.do(to, fleet.Heard{From: "tool-1", Message: fleet.Message{Kind: fleet.Order, ID: 1, Value: value}})
+	return nil
+}
+
+// ready runs until all gateways have their first view, and says how long that took.
+func (f *simulated) ready() time.Duration {
+	from := f.clock.Now
+	for until := from; until < from+time.Minute; {
 		until += 20 * time.Millisecond
-		clock.Run(until)
-		if !slices.ContainsFunc(names, func(n string) bool { return !nodes[n].Ready() }) {
-			out.Formed = clock.Now - time.Second
+		f.clock.Run(until)
+		if !slices.ContainsFunc(f.names, func(n string) bool { return !f.nodes[n].Ready() }) {
+			return until - from
+		}
+	}
+	return 0
+}
+
+// Rest drives the same packages as the daemon with so many gateways, over links of a millisecond, with 20 machines in each
+// one's report.
+func Rest(n int, seed uint64) (Resting, error) {
+	out, sent, busy := Resting{Gateways: n}, map[string][2]float64{}, false
+	report := fleet.Report{Machines: map[string]work.Machine{}}
+	for i := range 20 {
+		report.Machines[fmt.Sprintf("box-%02d", i)] = work.Machine{Kind: work.KindBox, Zone: "z", Up: true, Warm: true, Weight: 10, Busy: 0.3}
+	}
+	f, err := simulate(n, seed, work.Bounds{}, func(string) fleet.Report { return report })
+	if err != nil {
+		return out, err
+	}
+	f.sent = func(from, to string, bytes int) {
+		if busy {
+			for _, who := range []string{from, to} {
+				sent[who] = [2]float64{sent[who][0] + 1, sent[who][1] + float64(bytes)}
+			}
+		}
+	}
+	f.wrote = func() {
+		if busy {
+			out.Writes++
 		}
 	}
-	clock.Run(clock.Now + 10*time.Second)
+	out.Formed = f.ready()
+	f.clock.Run(f.clock.Now + 10*time.Second)
 	busy = true
 	const long = 20
-	clock.Run(clock.Now + long*time.Second)
+	f.clock.Run(f.clock.Now + long*time.Second)
 	busy = false
-	for i, name := range names {
+	for i, name := range f.names {
 		s := sent[name]
 		if i == n-1 {
 			out.Messages, out.Bytes = s[0]/long, s[1]/long
@@ -114,28 +159,23 @@
 		}
 	}
 	out.Writes /= long
-	value, err := json.Marshal(work.Command{Ask: &work.Ask{Key: "k", Machine: "box-01", ForMs: 1000}})
-	if err != nil {
+	asked := f.clock.Now
+	if err := f.order(f.names[n-1], work.Command{Ask: &work.Ask{Key: "k", Machine: "box-01", ForMs: 1000}}); err != nil {
 		return out, err
 	}
-	asked := clock.Now
-	for _, name := range names { // reports go stale, as they do in the daemon when they are not renewed
-		do(name, fleet.Seen{Report: report})
-	}
-	do(names[n-1], fleet.Heard{From: "tool-1", Message: fleet.Message{Kind: fleet.Order, ID: 1, Value: value}})
 	for until := asked; out.Drained == 0 && until < asked+30*time.Second; {
 		until += 5 * time.Millisecond
-		clock.Run(until)
-		if s := nodes[names[0]].State(); s != nil && len(s.Requests) > 0 {
+		f.clock.Run(until)
+		if s := f.nodes[f.names[0]].State(); s != nil && len(s.Requests) > 0 {
 			if out.Granted == 0 {
-				out.Granted = clock.Now - asked
+				out.Granted = until - asked
 			}
 			if s.Requests[0].Stage == work.Out {
-				out.Drained = clock.Now - asked
+				out.Drained = until - asked
 			}
 		}
 	}
-	return out, fault
+	return out, nil
 }
 
 // Grants measures, with real processes and no machine worked on, how long it takes from asking to granted, as a tool sees it: kill has the
--- a/lab/sim/sim.go
+++ b/lab/sim/sim.go
@@ -52,3 +52,10 @@
 		d.run()
 	}
 }
+
+// Pass lets so much time pass, with all that is due within it; Run alone stands at the last of that.
+func (c *Clock) Pass(d time.Duration) {
+	until := c.Now + d
+	c.Run(until)
+	c.Now = max(c.Now, until)
+}
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -178,7 +178,17 @@
 	return nil
 }
 
-// Again starts the program anew after Kill, at the same address and with the same files. It does not wait until it serves.
+// Ended waits until the program has ended by itself.
+func (w *World) Ended(ctx context.Context) error {
+	select {
+	case <-w.exited:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Again starts the program anew after Kill or Ended, at the same address and with the same files. It does not wait until it serves.
 func (w *World) Again() error {
 	old := w.Cmd
 	w.Log.Reset()
