Replica: what gateways know in common, as streams of slots that copies catch up with

Pure: no I/O, no clock. Slots by life, joins by number, safety before bulk, ages by steady clocks, tombstones that outlive what they bury, bounded for each kind and writer.

--- /dev/null
+++ b/replica/node.go
@@ -0,0 +1,488 @@
+package replica
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// DefaultEvery is how often a gateway asks another what is new, with up to a hundred lives; beyond, in proportion less often.
+	DefaultEvery = time.Second
+	// DefaultBytes is what a gateway sends others in a second at most, and what its own bulk may cost each of them, the whole
+	// fleet's together.
+	DefaultBytes = 256 << 10
+	// DefaultWait is how long one that starts waits for neighbours before it goes by what it has.
+	DefaultWait = 3 * time.Second
+
+	pullFor   = 1500 * time.Millisecond // an answer that takes longer is not waited for
+	quick     = 250 * time.Millisecond  // one that takes less may be larger the next time
+	mostFirst = 32 << 10                // bytes that an answer may have, at first,
+	mostLeast = 2 << 10                 // at the least,
+	mostMost  = 64 << 10                // and at the most
+	hintTo    = 3                       // others that are told at once of what is a matter of safety
+	hintAfter = 10 * time.Millisecond   // what comes within it is told together
+	reserved  = 4                       // one in so many bytes a second is for safety
+	overhead  = 64                      // bytes of a message, about, beside its slots
+	repairs   = 64                      // differences that are remembered
+	checks    = 10                      // of so many questions one compares copies whole
+)
+
+// MessageKind is what a message says.
+type MessageKind int
+
+// The kinds of message.
+const (
+	Pull   MessageKind = iota + 1 // what is newer than this?
+	Answer                        // this is
+	Hint                          // there is something newer that is a matter of safety
+)
+
+// Wire is a slot on its way, with the span of its age.
+type Wire struct {
+	Slot             Slot // without its times
+	Oldest, Youngest time.Duration
+}
+
+// Message goes between members.
+type Message struct {
+	Kind    MessageKind
+	ID      uint64 // of a Pull; in its Answer
+	Have    []Have // of a Pull and a Hint: what its sender has; of an Answer: what is reached by it
+	Most    int    // of a Pull: bytes that the answer may have
+	Slots   []Wire // of an Answer
+	More    bool   // of an Answer: there is more
+	Blank   bool   // of a Pull and an Answer: its sender is catching up itself
+	Digests map[Kind]uint64
+}
+
+// Event is anything that reaches a node.
+type Event interface{ event() }
+
+// Heard is a message from another member.
+type Heard struct {
+	From    string
+	Message Message
+}
+
+// Tick says that time has passed. It comes at least every hundred milliseconds.
+type Tick struct{}
+
+func (Heard) event() {}
+func (Tick) event()  {}
+
+// Action is anything that a node wants done.
+type Action interface{ action() }
+
+// Send sends a message. It may get lost.
+type Send struct {
+	To      string
+	Message Message
+}
+
+// Learned says that slots which are a matter of safety are new.
+type Learned struct{ Slots []Slot }
+
+// CaughtUp says that the node knows what its neighbours know, or goes on without. It comes once.
+type CaughtUp struct {
+	From string        // the neighbour that it was completed by; empty: none answered in time
+	Took time.Duration // since the first tick
+}
+
+func (Send) action()     {}
+func (Learned) action()  {}
+func (CaughtUp) action() {}
+
+// Config is what a node is made of.
+type Config struct {
+	Self    Life
+	Members []string      // all, the own one with them
+	Settles time.Duration // of purges
+	Every   time.Duration // 0: DefaultEvery
+	Bytes   int           // a second; 0: DefaultBytes
+	Wait    time.Duration // 0: DefaultWait
+	Wall    func() time.Duration
+	Size    func(*Slot) int // of a slot on the wire; nil: about
+	Seed    uint64
+}
+
+// Difference is one between two copies that should have been equal.
+type Difference struct {
+	With  string
+	Kind  Kind
+	Cause string
+	At    time.Duration
+}
+
+// NodeCounters count what befell a node.
+type NodeCounters struct {
+	Pulls, Answers, Lost, Hints, Stale, Throttled, Checked, Differed uint64
+}
+
+// pull is a question under way.
+type pull struct {
+	id uint64
+	to string
+	at time.Duration
+}
+
+// Node is a gateway's part in keeping copies alike. Use NewNode.
+type Node struct {
+	*Copy
+	Stats NodeCounters
+
+	cfg    Config
+	rng    *rand.Rand
+	now    time.Duration
+	out    []Action
+	began  time.Duration
+	caught bool
+	blanks map[string]bool // neighbours that were asked, and were catching up themselves
+	serial uint64
+	open   *pull
+	next   time.Duration
+	hinted string // who has something newer that is a matter of safety; empty: nobody
+	hints  []Have
+	hint   time.Duration // due then; 0: none is
+	most   int
+	bucket float64 // bytes that may be sent now
+	filled time.Duration
+	own    float64 // bytes that the own bulk may cost now
+	living map[string]time.Duration
+	differ []Difference
+	doubts map[string]int // checks in a row that found a difference, by member
+}
+
+// NewNode returns a node.
+func NewNode(c Config) (*Node, error) {
+	if c.Self.Number == 0 || c.Wall == nil {
+		return nil, fmt.Errorf("replica: Self.Number or Wall is missing")
+	}
+	if !slices.Contains(c.Members, c.Self.Name) {
+		return nil, fmt.Errorf("replica: Self: %q is none of the members", c.Self.Name)
+	}
+	if c.Every < 0 || c.Bytes < 0 || c.Wait < 0 {
+		return nil, fmt.Errorf("replica: Every, Bytes or Wait: negative")
+	}
+	c.Every, c.Bytes, c.Wait = cmp.Or(c.Every, DefaultEvery), cmp.Or(c.Bytes, DefaultBytes), cmp.Or(c.Wait, DefaultWait)
+	if c.Size == nil {
+		c.Size = func(s *Slot) int { return 48 + len(s.Key) + len(s.Value) + len(s.Writer.Name) }
+	}
+	return &Node{Copy: NewCopy(c.Self, c.Settles), cfg: c, rng: rand.New(rand.NewPCG(c.Seed, 0x2545f491)), began: -1, blanks: map[string]bool{}, most: mostFirst,
+		living: map[string]time.Duration{}, doubts: map[string]int{}, bucket: float64(c.Bytes)}, nil
+}
+
+// Handle takes one event at the given time and appends the actions to out. Time must not run backwards.
+func (n *Node) Handle(now time.Duration, e Event, out []Action) []Action {
+	n.now, n.out = now, out
+	if n.began < 0 {
+		n.began, n.filled = now, now
+		n.caught = len(n.cfg.Members) == 1
+	}
+	n.fill()
+	switch e := e.(type) {
+	case Heard:
+		if slices.Contains(n.cfg.Members, e.From) && e.From != n.cfg.Self.Name {
+			n.living[e.From] = now
+			n.heard(e.From, e.Message)
+		}
+	case Tick:
+		n.tick()
+	}
+	out, n.out = n.out, nil
+	return out
+}
+
+func (n *Node) do(a Action) { n.out = append(n.out, a) }
+
+// fill lets so much be sent again.
+func (n *Node) fill() {
+	took := (n.now - n.filled).Seconds()
+	n.filled = n.now
+	rate := float64(n.cfg.Bytes)
+	n.bucket = min(rate, n.bucket+took*rate)
+	mine := rate / 4 / float64(len(n.cfg.Members))
+	n.own = min(max(4*mine, 4096), n.own+took*mine)
+}
+
+// Say has the own life say something of a key, as Write does; what is a matter of safety is told others soon.
+func (n *Node) Say(now time.Duration, k Kind, key string, value []byte, seen time.Duration) bool {
+	if k.stream() == Bulk {
+		cost := float64(48 + len(key) + len(value) + len(n.cfg.Self.Name))
+		if n.own < cost { // each copy of it costs another member as much
+			n.Stats.Throttled++
+			return false
+		}
+		if !n.Write(now, n.cfg.Wall(), k, key, value, seen) {
+			return false
+		}
+		n.own -= cost
+		return true
+	}
+	if !n.Write(now, n.cfg.Wall(), k, key, value, seen) {
+		return false
+	}
+	n.soon(now)
+	return true
+}
+
+func (n *Node) soon(now time.Duration) {
+	if n.hint == 0 {
+		n.hint = now + hintAfter
+	}
+}
+
+// CatchingUp says that the node doesn't know yet what its neighbours know.
+func (n *Node) CatchingUp() bool { return !n.caught }
+
+// Living is how many other members were heard lately.
+func (n *Node) Living(now time.Duration) (count int) {
+	for _, at := range n.living {
+		if now-at < 10*n.every() {
+			count++
+		}
+	}
+	return count
+}
+
+// Differences are the latest that were found.
+func (n *Node) Differences() []Difference { return slices.Clone(n.differ) }
+
+func (n *Node) every() time.Duration {
+	return n.cfg.Every * time.Duration(max(1, len(n.lives)/100))
+}
+
+func (n *Node) tick() {
+	n.Sweep(n.now)
+	if n.open != nil && n.now-n.open.at > pullFor {
+		n.Stats.Lost++
+		n.most = max(mostLeast, n.most/4)
+		n.open, n.hinted = nil, ""
+		n.next = n.now // another one, at once
+	}
+	if !n.caught && n.now-n.began >= n.cfg.Wait {
+		n.catch("")
+	}
+	if n.hint > 0 && n.now >= n.hint {
+		n.hint = 0
+		n.tell()
+	}
+	if n.open == nil && n.now >= n.next {
+		n.ask("")
+	}
+}
+
+func (n *Node) catch(from string) {
+	if !n.caught {
+		n.caught = true
+		n.do(CaughtUp{from, n.now - n.began})
+	}
+}
+
+// tell tells a few others that there is something newer.
+func (n *Node) tell() {
+	m := Message{Kind: Hint}
+	for _, h := range n.Haves() {
+		if h.UpTo[Safety] > 0 && n.now-n.lives[h.Life].active < 2*n.cfg.Every {
+			m.Have = append(m.Have, Have{Life: h.Life, UpTo: [streams]uint64{Safety: h.UpTo[Safety]}})
+		}
+	}
+	if len(m.Have) == 0 {
+		return
+	}
+	n.Stats.Hints++
+	for range hintTo {
+		if to := n.pick(); to != "" {
+			n.send(to, m)
+		}
+	}
+}
+
+// pick draws another member. One that starts asks those first that it has not asked yet.
+func (n *Node) pick() string {
+	if len(n.cfg.Members) < 2 {
+		return ""
+	}
+	for range 8 {
+		to := n.cfg.Members[n.rng.IntN(len(n.cfg.Members))]
+		if to != n.cfg.Self.Name && (n.caught || !n.blanks[to]) {
+			return to
+		}
+	}
+	for _, to := range n.cfg.Members {
+		if to != n.cfg.Self.Name && !n.blanks[to] {
+			return to
+		}
+	}
+	return n.cfg.Members[(slices.Index(n.cfg.Members, n.cfg.Self.Name)+1)%len(n.cfg.Members)]
+}
+
+// ask asks somebody what is new; an empty name: whom the draw says.
+func (n *Node) ask(to string) {
+	every := n.every()
+	n.next = n.now + every*3/4 + time.Duration(n.rng.Int64N(int64(every/2)))
+	if to = cmp.Or(to, n.pick()); to == "" {
+		return
+	}
+	n.serial++
+	n.open = &pull{n.serial, to, n.now}
+	n.Stats.Pulls++
+	n.send(to, Message{Kind: Pull, ID: n.serial, Have: n.Haves(), Most: n.most, Blank: !n.caught})
+}
+
+func (n *Node) send(to string, m Message) { n.do(Send{to, m}) }
+
+func (n *Node) heard(from string, m Message) {
+	switch m.Kind {
+	case Pull:
+		n.answer(from, m)
+	case Answer:
+		n.answered(from, m)
+	case Hint:
+		if !n.Behind(m.Have) {
+			return
+		}
+		if n.open == nil {
+			n.ask(from)
+		} else { // after what is under way, and before more of that
+			n.hinted, n.hints = from, m.Have
+		}
+	}
+}
+
+// answer sends what is newer, as much as may be sent now: safety first.
+func (n *Node) answer(from string, m Message) {
+	// A part of what may be sent is for safety alone: it must not wait for the bulk.
+	most, bulk := min(max(m.Most, mostLeast), mostMost), int(n.bucket)-n.cfg.Bytes/reserved
+	if n.bucket < mostLeast {
+		n.Stats.Throttled++
+		return // it asks another one
+	}
+	if bulk < mostLeast {
+		n.Stats.Throttled++
+	}
+	slots, reached, more := n.Newer(m.Have, most, min(most, bulk), n.cfg.Size)
+	a := Message{Kind: Answer, ID: m.ID, Have: reached, More: more, Blank: !n.caught}
+	bytes := overhead + 24*len(reached)
+	for _, s := range slots {
+		w := Wire{Slot: *s, Oldest: n.now - s.Early, Youngest: max(0, n.now-s.Late)}
+		w.Slot.Early, w.Slot.Late = 0, 0
+		a.Slots = append(a.Slots, w)
+		bytes += n.cfg.Size(s)
+	}
+	if len(slots) == 0 && !n.Behind(m.Have) && m.ID%checks == 0 {
+		a.Digests = n.digests()
+	}
+	n.bucket -= float64(bytes)
+	n.Stats.Answers++
+	n.send(from, a)
+	if n.Behind(m.Have) && n.open == nil && n.caught { // the other one has what is not here
+		n.next = min(n.next, n.now+n.cfg.Every/8)
+	}
+}
+
+func (n *Node) digests() map[Kind]uint64 {
+	all := map[Kind]uint64{}
+	for k, c := range n.count {
+		if c > 0 {
+			all[k] = n.Digest(n.now, k)
+		}
+	}
+	return all
+}
+
+// answered takes in what another has.
+func (n *Node) answered(from string, m Message) {
+	if n.open == nil || n.open.id != m.ID || n.open.to != from {
+		n.Stats.Stale++
+		return
+	}
+	asked := n.open.at
+	n.open = nil
+	switch took := n.now - asked; {
+	case took < quick:
+		n.most = min(mostMost, 2*n.most)
+	case took > 2*quick:
+		n.most = max(mostLeast, n.most/2)
+	}
+	var news []Slot
+	for _, w := range m.Slots {
+		s := w.Slot
+		if w.Youngest < 0 || w.Oldest < w.Youngest {
+			n.Counters.Refused++
+			continue
+		}
+		// It was so old when it was sent, which was between the question and now.
+		s.Early, s.Late = asked-w.Oldest, n.now-w.Youngest
+		if n.Take(n.now, n.cfg.Wall(), s) && s.Kind.stream() == Safety {
+			news = append(news, s)
+		}
+	}
+	for _, h := range m.Have {
+		for st := range streams {
+			n.Reached(n.now, h.Life, st, h.UpTo[st])
+		}
+	}
+	if len(news) > 0 {
+		n.do(Learned{news})
+		n.soon(n.now)
+	}
+	n.check(from, m)
+	hinted := n.hinted
+	if n.hinted = ""; hinted != "" && !n.Behind(n.hints) {
+		hinted = ""
+	}
+	switch {
+	case hinted != "":
+		n.ask(hinted)
+	case m.More && len(m.Slots) == 0: // it may not send more now
+		n.next = min(n.next, n.now+n.cfg.Every/4)
+	case m.More:
+		n.ask(from)
+	case n.caught:
+	case !m.Blank:
+		n.catch(from)
+	default: // it knows no more than this one; another may
+		n.blanks[from] = true
+		if len(n.blanks) >= len(n.cfg.Members)-1 {
+			n.catch(from)
+		} else {
+			n.ask("")
+		}
+	}
+}
+
+// check holds the copies against each other where they should be equal. One difference may be of what changed meanwhile; three
+// in a row with the same member are noted, and all that it has is asked for anew.
+func (n *Node) check(from string, m Message) {
+	if m.Digests == nil || len(m.Slots) > 0 {
+		return
+	}
+	n.Stats.Checked++
+	own, bad := n.digests(), Kind(0)
+	for k, sum := range m.Digests {
+		if own[k] != sum && ruleOf(k).most > n.count[k]+n.count[k]/8 { // where room is short, copies drop what they drop
+			bad = k
+		}
+	}
+	if bad == 0 {
+		n.doubts[from] = 0
+		return
+	}
+	if n.doubts[from]++; n.doubts[from] < 3 {
+		return
+	}
+	n.doubts[from] = 0
+	n.Stats.Differed++
+	if len(n.differ) >= repairs {
+		n.differ = n.differ[1:]
+	}
+	n.differ = append(n.differ, Difference{With: from, Kind: bad, Cause: "equal versions, other slots: all are asked for anew", At: n.now})
+	for l, f := range n.lives {
+		if l != n.cfg.Self {
+			f.tracks[Safety].upTo, f.tracks[Bulk].upTo = 0, 0
+		}
+	}
+}
--- /dev/null
+++ b/replica/replica.go
@@ -0,0 +1,510 @@
+// Package replica keeps what the gateways of an installation know in common, a copy at each of them, so that one that returns
+// catches up with its neighbours before it does harm.
+//
+// What is known is made of slots. A slot is one life's word on one key of one kind, and only that life ever changes it: a life is
+// a start of a gateway, with a number that no start before had. So two copies of a slot are versions of one writer's, and the
+// higher number wins; copies join by that alone, in any order and any number of times. What several lives say of the same key is
+// joined by whoever reads it, by a rule for each kind (see Reading).
+//
+// Each life numbers its slots in two streams, one for what is a matter of safety and one for the bulk. Members tell each other up
+// to which number they have each stream and are sent what is newer, in its order, safety first (Scuttlebutt: van Renesse,
+// Dumitriu, Gough, Thomas, "Efficient Reconciliation and Flow Control for Anti-Entropy Protocols", 2008). So what was sent when
+// an exchange breaks off is a beginning that the next one goes on from, with whichever neighbour.
+//
+// Nothing here goes by wall clocks. A slot travels with its age, and every copy of it grows old by its holder's steady clock. The age is
+// known as a span, from the question that it answers to its arrival. What speaks for sending more counts as old as it can be,
+// a purge as young as it can be. A slot that has outlived its kind is dropped, and taken from nobody: so a tombstone, too, need
+// only outlive what it buries, however long a member was away.
+//
+// The package does no I/O and reads no clock; the same events give the same actions.
+package replica
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Kind is what a slot is about. Kinds below FirstBulk are matters of safety. One that is not known here is kept and handed on.
+type Kind uint32
+
+// The kinds.
+const (
+	Purge   Kind = 1  // key: a name of package purges; what is older must not be served
+	Drain   Kind = 2  // key: a store; it drains or is gone, since the start that the value names
+	Cold    Kind = 3  // key: a store and its start; value: the work that the writer has sent it since
+	Forget  Kind = 4  // key: kind and key of what is to be forgotten; value: why
+	Health  Kind = 32 // key: a store; value: what the writer has seen of its failing
+	Listing Kind = 33 // key: zone and object; value: where it is to be found
+
+	// FirstBulk parts the streams.
+	FirstBulk Kind = 32
+)
+
+// stream is the stream of a kind.
+func (k Kind) stream() Stream {
+	if k < FirstBulk {
+		return Safety
+	}
+	return Bulk
+}
+
+// String names a kind.
+func (k Kind) String() string {
+	if n := rules[k].name; n != "" {
+		return n
+	}
+	return fmt.Sprint("kind ", uint32(k))
+}
+
+// KindOf is the kind of a name; false: there is none.
+func KindOf(name string) (Kind, bool) {
+	for k, r := range rules {
+		if r.name == name {
+			return k, true
+		}
+	}
+	return 0, false
+}
+
+// Stream is one of a life's two.
+type Stream int
+
+// The streams.
+const (
+	Safety Stream = iota
+	Bulk
+	streams
+)
+
+// rule is what holds for a kind: how long a slot lasts, and how many are kept. Beyond, the oldest goes; of those of one
+// writer that holds over a quarter, its own.
+type rule struct {
+	name string
+	life time.Duration
+	most int
+}
+
+var rules = map[Kind]rule{
+	Purge:   {"purge", 15 * time.Second, 8192}, // settings may say less; see Config
+	Drain:   {"drain", 30 * time.Second, 2048},
+	Cold:    {"cold", 30 * time.Second, 4096},
+	Forget:  {"forget", 3 * time.Minute, 512}, // longer than what it buries
+	Health:  {"health", 2 * time.Minute, 16384},
+	Listing: {"listing", 2 * time.Minute, 65536},
+}
+
+// unknown holds for kinds of later versions.
+var unknown = rule{"", 3 * time.Minute, 1024}
+
+func ruleOf(k Kind) rule {
+	if r, ok := rules[k]; ok {
+		return r
+	}
+	return unknown
+}
+
+const (
+	mostKey   = 128 // bytes
+	mostValue = 512
+	mostLives = 4096 // lives whose streams are followed
+	share     = 4    // a writer holds at most one in so many of a kind
+	near      = 2 * time.Second
+)
+
+// Life names a start of a gateway.
+type Life struct {
+	Name   string
+	Number uint64
+}
+
+func (l Life) compare(o Life) int {
+	return cmp.Or(cmp.Compare(l.Name, o.Name), cmp.Compare(l.Number, o.Number))
+}
+
+// Slot is one life's word on one key.
+type Slot struct {
+	Writer Life
+	Seq    uint64 // in its stream
+	Kind   Kind
+	Key    string
+	Value  []byte
+	Stamp  uint64 // hybrid logical clock of the writer: orders what is about as old
+
+	// Early and Late are between which moments the evidence was seen, by the holder's clock.
+	Early, Late time.Duration
+	gone        bool // it stays in its log until that is gone through
+}
+
+// id tells slots apart.
+type id struct {
+	kind   Kind
+	key    string
+	writer Life
+}
+
+func (s *Slot) id() id { return id{s.Kind, s.Key, s.Writer} }
+
+// track is one stream of a life: the slots in the order of their numbers, and up to which number all of them are known.
+type track struct {
+	upTo uint64
+	log  []*Slot
+	dead int
+}
+
+// clean goes through the log once half of it is gone.
+func (t *track) clean() {
+	if t.dead*2 > len(t.log)+8 {
+		t.log = slices.DeleteFunc(t.log, func(s *Slot) bool { return s.gone })
+		t.dead = 0
+	}
+}
+
+// followed is a life with its streams.
+type followed struct {
+	tracks [streams]track
+	active time.Duration // it was last heard of anything new
+}
+
+// Counters count what befell a copy.
+type Counters struct {
+	Written, Taken, Known, Expired, Crowded uint64 // slots: own, from others, that were known already, outlived, dropped for want of room
+	Refused, Aged, Buried                   uint64 // slots not taken: out of bounds, outlived, under a tombstone
+}
+
+// Copy is a gateway's copy of what is known. Use NewCopy.
+type Copy struct {
+	Counters Counters
+
+	self  Life
+	settl time.Duration // of purges
+	lives map[Life]*followed
+	slots map[id]*Slot
+	byKey map[Kind]map[string][]*Slot
+	count map[Kind]int
+	of    map[Kind]map[string]int // slots by name of writer
+	stamp uint64
+	swept time.Duration
+}
+
+// NewCopy returns an empty copy for a life. Purges last for settles: no older copy can be left anywhere after that.
+func NewCopy(self Life, settles time.Duration) *Copy {
+	c := &Copy{self: self, settl: settles, lives: map[Life]*followed{}, slots: map[id]*Slot{}, byKey: map[Kind]map[string][]*Slot{}, count: map[Kind]int{},
+		of: map[Kind]map[string]int{}}
+	c.lives[self] = &followed{}
+	return c
+}
+
+func (c *Copy) lifeOf(k Kind) time.Duration {
+	if k == Purge && c.settl > 0 {
+		return min(c.settl, rules[Purge].life)
+	}
+	return ruleOf(k).life
+}
+
+// Write has the own life say something of a key. Seen is when its evidence was seen. It says whether that is news: the same
+// value again is, once half of its life is over.
+func (c *Copy) Write(now, wall time.Duration, k Kind, key string, value []byte, seen time.Duration) bool {
+	if len(key) > mostKey || len(value) > mostValue || key == "" || now-seen > c.lifeOf(k) {
+		c.Counters.Refused++
+		return false
+	}
+	if old := c.slots[id{k, key, c.self}]; old != nil && string(old.Value) == string(value) && (seen <= old.Late || k != Purge && seen-old.Late < c.lifeOf(k)/2) {
+		return false // a later purge of the same name is another one
+	}
+	c.stamp = max(c.stamp+1, uint64(max(0, wall.Milliseconds()))<<16)
+	f := c.lives[c.self]
+	t := &f.tracks[k.stream()]
+	t.upTo++
+	c.Counters.Written++
+	c.put(now, &Slot{Writer: c.self, Seq: t.upTo, Kind: k, Key: key, Value: value, Stamp: c.stamp, Early: seen, Late: seen})
+	return true
+}
+
+// Take takes in a slot from another copy, with the span of its evidence by the own clock. True: it is news.
+func (c *Copy) Take(now, wall time.Duration, s Slot) bool {
+	switch {
+	case s.Writer == c.self, s.Writer.Name == "" || len(s.Writer.Name) > 64, s.Key == "" || len(s.Key) > mostKey, len(s.Value) > mostValue, s.Late < s.Early,
+		s.Late > now, s.Seq == 0:
+		c.Counters.Refused++
+		return false
+	case now-s.Late > c.lifeOf(s.Kind):
+		c.Counters.Aged++
+		return false
+	}
+	if c.lives[s.Writer] == nil && len(c.lives) >= mostLives {
+		c.Counters.Refused++
+		return false
+	}
+	if old := c.slots[s.id()]; old != nil && old.Seq >= s.Seq {
+		c.Counters.Known++
+		return false
+	}
+	if s.Kind != Forget && c.buried(&s) {
+		c.Counters.Buried++
+		return false
+	}
+	// Guards against a clock far ahead: it does not take this one along. What it stamps is ordered by age all the same.
+	if ahead := uint64(max(0, (wall+near).Milliseconds())) << 16; s.Stamp <= ahead {
+		c.stamp = max(c.stamp, s.Stamp)
+	}
+	c.Counters.Taken++
+	s.gone = false
+	c.put(now, &s)
+	return true
+}
+
+// put puts a slot in the place of the one that was there.
+func (c *Copy) put(now time.Duration, s *Slot) {
+	if old := c.slots[s.id()]; old != nil {
+		c.remove(old)
+	}
+	f := c.lives[s.Writer]
+	if f == nil {
+		f = &followed{}
+		c.lives[s.Writer] = f
+	}
+	f.active = now
+	t := &f.tracks[s.Kind.stream()]
+	at, _ := slices.BinarySearchFunc(t.log, s.Seq, func(x *Slot, seq uint64) int { return cmp.Compare(x.Seq, seq) })
+	t.log = slices.Insert(t.log, at, s) // mostly at the end
+	c.slots[s.id()] = s
+	if c.byKey[s.Kind] == nil {
+		c.byKey[s.Kind], c.of[s.Kind] = map[string][]*Slot{}, map[string]int{}
+	}
+	c.byKey[s.Kind][s.Key] = append(c.byKey[s.Kind][s.Key], s)
+	c.count[s.Kind]++
+	c.of[s.Kind][s.Writer.Name]++
+	if s.Kind == Forget {
+		c.bury(s)
+	}
+	most := ruleOf(s.Kind).most
+	switch {
+	case c.of[s.Kind][s.Writer.Name] > max(1, most/share): // guards against one that fills the others' room
+		c.crowd(s.Kind, s.Writer.Name)
+	case c.count[s.Kind] > most:
+		c.crowd(s.Kind, "")
+	}
+}
+
+// crowd drops the oldest sixteenth of a kind's slots, of one writer or of all.
+func (c *Copy) crowd(k Kind, writer string) {
+	var all []*Slot
+	for _, l := range c.byKey[k] {
+		for _, s := range l {
+			if writer == "" || s.Writer.Name == writer {
+				all = append(all, s)
+			}
+		}
+	}
+	slices.SortFunc(all, oldest)
+	for _, s := range all[:max(1, len(all)/16)] {
+		c.Counters.Crowded++
+		c.remove(s)
+	}
+}
+
+func oldest(a, b *Slot) int {
+	return cmp.Or(cmp.Compare(a.Late, b.Late), a.Writer.compare(b.Writer), cmp.Compare(a.Seq, b.Seq))
+}
+
+func (c *Copy) remove(s *Slot) {
+	if s.gone {
+		return
+	}
+	s.gone = true
+	delete(c.slots, s.id())
+	l := c.byKey[s.Kind][s.Key]
+	if l = slices.DeleteFunc(l, func(x *Slot) bool { return x == s }); len(l) == 0 {
+		delete(c.byKey[s.Kind], s.Key)
+	} else {
+		c.byKey[s.Kind][s.Key] = l
+	}
+	c.count[s.Kind]--
+	if c.of[s.Kind][s.Writer.Name]--; c.of[s.Kind][s.Writer.Name] <= 0 {
+		delete(c.of[s.Kind], s.Writer.Name)
+	}
+	if f := c.lives[s.Writer]; f != nil {
+		t := &f.tracks[s.Kind.stream()]
+		t.dead++
+		t.clean()
+	}
+}
+
+// TombKey is the key of a Forget for a key of a kind.
+func TombKey(k Kind, key string) string { return fmt.Sprintf("%d %s", uint32(k), key) }
+
+// buried says that somebody had a slot's key forgotten after its evidence was seen.
+func (c *Copy) buried(s *Slot) bool {
+	for _, t := range c.byKey[Forget][TombKey(s.Kind, s.Key)] {
+		if s.Late <= t.Late {
+			return true
+		}
+	}
+	return false
+}
+
+// bury drops what a tombstone covers.
+func (c *Copy) bury(t *Slot) {
+	var k uint32
+	if n, err := fmt.Sscanf(t.Key, "%d ", &k); n != 1 || err != nil || Kind(k) == Forget {
+		return
+	}
+	key := t.Key[len(fmt.Sprintf("%d ", k)):]
+	for _, s := range slices.Clone(c.byKey[Kind(k)][key]) {
+		if s.Late <= t.Late {
+			c.Counters.Buried++
+			c.remove(s)
+		}
+	}
+}
+
+// Sweep drops what has outlived its kind, and lives of which nothing is left. It does so twice a second at most.
+func (c *Copy) Sweep(now time.Duration) {
+	if now-c.swept < 500*time.Millisecond && c.swept > 0 {
+		return
+	}
+	c.swept = now
+	var old []*Slot
+	for _, s := range c.slots {
+		if now-s.Late > c.lifeOf(s.Kind) {
+			old = append(old, s)
+		}
+	}
+	for _, s := range old {
+		c.Counters.Expired++
+		c.remove(s)
+	}
+	for l, f := range c.lives {
+		// Twice the longest life of a slot: what comes of such a life later than that has outlived itself anyway.
+		if l != c.self && now-f.active > 2*unknown.life && len(f.tracks[Safety].log)-f.tracks[Safety].dead+len(f.tracks[Bulk].log)-f.tracks[Bulk].dead == 0 {
+			delete(c.lives, l)
+		}
+	}
+}
+
+// Have says up to which number a copy has a life's streams.
+type Have struct {
+	Life Life
+	UpTo [streams]uint64
+}
+
+// Haves are those of all lives, in order.
+func (c *Copy) Haves() (all []Have) {
+	for l, f := range c.lives {
+		all = append(all, Have{l, [streams]uint64{f.tracks[Safety].upTo, f.tracks[Bulk].upTo}})
+	}
+	slices.SortFunc(all, func(a, b Have) int { return a.Life.compare(b.Life) })
+	return all
+}
+
+// Behind says whether anything in there is newer than what is here.
+func (c *Copy) Behind(theirs []Have) bool {
+	for _, h := range theirs {
+		f := c.lives[h.Life]
+		for st := range streams {
+			if h.UpTo[st] > 0 && (f == nil || f.tracks[st].upTo < h.UpTo[st]) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Reached says that all slots of a stream up to a number have been taken in, or are not worth it any more.
+func (c *Copy) Reached(now time.Duration, l Life, st Stream, upTo uint64) {
+	if l == c.self || st < 0 || st >= streams || l.Name == "" || len(l.Name) > 64 {
+		return
+	}
+	f := c.lives[l]
+	if f == nil {
+		if len(c.lives) >= mostLives {
+			return
+		}
+		f = &followed{active: now}
+		c.lives[l] = f
+	}
+	if t := &f.tracks[st]; upTo > t.upTo {
+		t.upTo, f.active = upTo, now
+	}
+}
+
+// Newer are the slots that somebody who has this much lacks, in the order in which they have to be sent, with what is reached by
+// them: at most so many bytes by size, but one at least, and of the bulk only while all of it is under bulk. More: there are further ones.
+func (c *Copy) Newer(theirs []Have, most, bulk int, size func(*Slot) int) (slots []*Slot, reached []Have, more bool) {
+	has := map[Life][streams]uint64{}
+	for _, h := range theirs {
+		has[h.Life] = h.UpTo
+	}
+	lives := slices.SortedFunc(maps.Keys(c.lives), Life.compare)
+	bytes := 0
+	upTo := map[Life]*[streams]uint64{}
+	for st := range streams {
+		for _, l := range lives {
+			t := &c.lives[l].tracks[st]
+			from := has[l][st]
+			if t.upTo <= from {
+				continue
+			}
+			if more {
+				return slots, order(upTo), true
+			}
+			u := upTo[l]
+			if u == nil {
+				u = &[streams]uint64{}
+				upTo[l] = u
+			}
+			at, _ := slices.BinarySearchFunc(t.log, from+1, func(x *Slot, seq uint64) int { return cmp.Compare(x.Seq, seq) })
+			u[st] = t.upTo
+			for _, s := range t.log[at:] {
+				if s.gone {
+					continue
+				}
+				n := size(s)
+				if bytes+n > most && len(slots) > 0 || st == Bulk && bytes+n > bulk {
+					u[st], more = s.Seq-1, true
+					break
+				}
+				bytes += n
+				slots = append(slots, s)
+			}
+		}
+	}
+	return slots, order(upTo), more
+}
+
+func order(m map[Life]*[streams]uint64) (all []Have) {
+	for l, u := range m {
+		all = append(all, Have{l, *u})
+	}
+	slices.SortFunc(all, func(a, b Have) int { return a.Life.compare(b.Life) })
+	return all
+}
+
+// Len is the number of slots.
+func (c *Copy) Len() int { return len(c.slots) }
+
+// Count is the number of slots of a kind.
+func (c *Copy) Count(k Kind) int { return c.count[k] }
+
+// Digest is of all slots of a kind, the same for equal ones; those near their end are left out, as clocks differ.
+func (c *Copy) Digest(now time.Duration, k Kind) (sum uint64) {
+	for _, l := range c.byKey[k] {
+		for _, s := range l {
+			if now-s.Late < c.lifeOf(k)-near {
+				sum += s.hash()
+			}
+		}
+	}
+	return sum
+}
+
+func (s *Slot) hash() uint64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d %q %q %d %d %d ", s.Kind, s.Key, s.Writer.Name, s.Writer.Number, s.Seq, s.Stamp)
+	_, _ = h.Write(s.Value)
+	return h.Sum64()
+}
