Agreement: a value that follows without a prepare is promised with the one before it

At fault: Prior in Accept (agreement.go, heard and accept) asked acceptors whether their latest promise was still the proposer's, where Paxos wants a majority's promise to the ballot itself before anything is accepted under it. Ruled out: lost votes, stores that lag (the run stores at once), the dedupe of requests (work.Apply), the link's replies.

Now an Accept has the next ballot promised with it (Next), as CASPaxos has it; an Accept of the former kind is passed over, so that mixed versions fall back to whole rounds. Second: a start could use a ballot again that was sent before the vote for it lasted; it passes over a million numbers.

--- a/agreement/agreement.go
+++ b/agreement/agreement.go
@@ -3,9 +3,9 @@
 //
 // It is the register of CASPaxos (Rystsov, "CASPaxos: Replicated State Machines without logs", 2018): who wants to change
 // the value first has a majority promise to heed no older ballot, takes the newest value that any of them has accepted, applies its
-// commands to it, and has a majority accept the outcome under its ballot. Who made the latest change keeps the promises made
-// to it, and needs one round trip for the next one; that they still hold, which one round trip without a write tells, says
-// that its value is the latest.
+// commands to it, and has a majority accept the outcome under its ballot. With that they promise the next ballot of the one who made
+// the change, which needs one round trip for a further one; that the promises still hold, which one round trip without a write
+// tells, says that its value is the latest.
 //
 // A voter's memory is its vote. One that has lost it has another life, and a life counts only if the value says so: it is let
 // in by a majority of the others. So a voter never votes twice as itself. The very first value is made when all voters are there and
@@ -30,6 +30,10 @@
 	// DefaultSpread is the most that a proposer waits after another one's ballot crossed its own; it doubles up to eight times that.
 	DefaultSpread = 150 * time.Millisecond
 
+	// Numbers that a start passes over. Guards against a ballot that was sent before the vote for it lasted, by the life that was
+	// killed then: one ballot would stand for two values. No disk lags by so many rounds.
+	startSkip = 1 << 20
+
 	mostCommands = 256 // that wait at one voter; further ones are refused
 )
 
@@ -92,7 +96,7 @@
 	Kind     Kind
 	Life     uint64 // the sender's
 	Ballot   Ballot
-	Prior    Ballot // of an Accept without a Prepare: only if the latest promise was to this one
+	Next     Ballot // of an Accept: promise this one, too, by which a further value may follow without a Prepare; of its Accepted: done
 	Accepted Ballot // of a Promise
 	State    State  // of a Promise, an Accept and a Learn; of a Prepare the lives that would begin it all, if any
 }
@@ -230,8 +234,9 @@
 
 	phase   phase
 	ballot  Ballot
-	forming bool // this round begins it all
-	holds   bool // a majority's promises to ballot may still hold, and known is under it
+	forming bool   // this round begins it all
+	holds   bool   // a majority's promises to ahead may still hold, and known is what they had accepted then
+	ahead   Ballot // for the next value, without a Prepare
 	until   time.Duration
 	read    time.Duration // the latest round for questions alone began
 	wait    time.Duration // nothing is begun before
@@ -260,7 +265,9 @@
 	v := &Voter{cfg: c, pcg: rand.NewPCG(c.Seed, 0x5bd1e995), vote: c.Vote, blanks: map[string]uint64{}}
 	v.rng = rand.New(v.pcg)
 	v.vote.State = v.vote.State.clone()
-	v.top = v.vote.Promised.Number
+	if v.top = v.vote.Promised.Number; c.Vote.Has {
+		v.top += startSkip
+	}
 	return v, nil
 }
 
@@ -363,7 +370,7 @@
 // ---- as one who votes ----
 
 func (v *Voter) heard(from string, m Message) {
-	v.top = max(v.top, m.Ballot.Number)
+	v.top = max(v.top, m.Ballot.Number, m.Next.Number)
 	switch m.Kind {
 	case Prepare:
 		if life, would := m.State.Lives[v.cfg.Self]; !v.has() && would && life == v.vote.Life && v.known.Revision == 0 {
@@ -383,12 +390,15 @@
 		switch {
 		case !v.has():
 			v.reply(from, Message{Kind: Blank, Ballot: m.Ballot})
-		case m.Ballot.Less(v.vote.Promised), m.Prior != Ballot{} && m.Prior != v.vote.Promised:
+		case m.Ballot.Less(v.vote.Promised):
 			v.reply(from, Message{Kind: Reject, Ballot: v.vote.Promised})
 		default:
 			v.vote.Promised, v.vote.Accepted, v.vote.State = m.Ballot, m.Ballot, m.State.clone()
+			if m.Ballot.Less(m.Next) { // what is proposed without a Prepare must have a majority's promise before it is accepted anywhere
+				v.vote.Promised = m.Next
+			}
 			v.keep()
-			v.reply(from, Message{Kind: Accepted, Ballot: m.Ballot})
+			v.reply(from, Message{Kind: Accepted, Ballot: m.Ballot, Next: m.Next})
 		}
 	case Confirm:
 		switch {
@@ -412,7 +422,7 @@
 	if s.Revision == 0 || s.Revision < v.known.Revision || at.Less(v.knownAt) {
 		return
 	}
-	if v.holds && v.ballot.Less(at) {
+	if v.holds && v.ahead.Less(at) {
 		v.holds = false
 	}
 	changed := s.Revision > v.known.Revision
@@ -450,7 +460,7 @@
 	v.reads, v.asks = v.asks, nil
 	if v.holds && len(v.work)+len(v.blanks) == 0 {
 		v.Counters.Confirms++
-		v.phase, v.counted = confirming, v.known.Lives
+		v.phase, v.counted, v.ballot = confirming, v.known.Lives, v.ahead
 		v.others(Message{Kind: Confirm, Ballot: v.ballot})
 		v.heard(v.cfg.Self, Message{Kind: Confirm, Ballot: v.ballot})
 		return
@@ -582,14 +592,13 @@
 		next.Revision++
 	}
 	v.next, v.counted = next, base.Lives // what this lets in doesn't count for it
-	prior := Ballot{}
-	if v.holds { // under the promises that are kept
-		prior = v.ballot
-		v.top++
-		v.ballot = Ballot{v.top, v.cfg.Self}
+	if v.holds {                         // under the promises that are kept
+		v.ballot = v.ahead
 	}
+	v.top = max(v.top, v.ballot.Number) + 1
+	v.ahead = Ballot{v.top, v.cfg.Self}
 	v.phase, v.holds, v.got = accepting, false, map[string]Message{}
-	m := Message{Kind: Accept, Ballot: v.ballot, Prior: prior, State: next.clone()}
+	m := Message{Kind: Accept, Ballot: v.ballot, Next: v.ahead, State: next.clone()}
 	v.others(m)
 	v.heard(v.cfg.Self, m)
 }
@@ -598,13 +607,20 @@
 func (v *Voter) agreed() {
 	v.Counters.Agreed++
 	s := v.next
-	v.holds = true
+	promised := 0
+	for from, m := range v.got {
+		if m.Kind == Accepted && m.Next == v.ahead && v.counted[from] == m.Life {
+			promised++
+		}
+	}
 	for name, life := range v.blanks {
 		if s.Lives[name] == life {
 			delete(v.blanks, name)
 		}
 	}
 	v.learn(s, v.ballot)
+	// Guards against a further value upon another one than that which the promises are about.
+	v.holds = promised > len(v.cfg.Voters)/2 && v.knownAt == v.ballot
 	v.others(Message{Kind: Learn, Ballot: v.ballot, State: s.clone()})
 	v.finish(s)
 }
--- a/agreement/explore_test.go
+++ b/agreement/explore_test.go
@@ -245,7 +245,7 @@
 		k.vote(v.vote)
 		k.state(v.known)
 		k.state(v.next)
-		k.ballot(v.knownAt, v.ballot)
+		k.ballot(v.knownAt, v.ballot, v.ahead)
 		k.lives(v.counted)
 		k.lives(v.blanks)
 		holds := uint64(0)
@@ -327,7 +327,7 @@
 
 func (k *keyer) message(m Message) {
 	k.num(uint64(m.Kind), m.Life)
-	k.ballot(m.Ballot, m.Prior, m.Accepted)
+	k.ballot(m.Ballot, m.Next, m.Accepted)
 	k.state(m.State)
 }
 
@@ -558,3 +558,67 @@
 		t.Error("two strangers were taken for a majority")
 	}
 }
+
+// A voter is killed before the vote for a ballot of its own lasts, which it has sent: b has accepted a value under it. Having started
+// anew it must not use that ballot for another value, or there are two of one ballot, and the one that was agreed on is lost.
+func TestABallotIsNeverUsedTwice(t *testing.T) {
+	w := formed(bounds{}, true)
+	w.do("a", Wanted{"x1", []byte("x1")}) // under the promises that it holds: to all, before its own vote lasts
+	for i := 0; i < len(w.flights); {     // b accepts it; c never hears of it
+		f := w.flights[i]
+		w.flights = slices.Delete(w.flights, i, i+1)
+		if f.to == "b" {
+			w.do("b", Heard{f.from, f.m})
+		}
+	}
+	first := w.voters["b"].vote.Accepted
+	w.flights, w.pending["a"], w.voters["a"] = nil, nil, nil
+	w.start("a")
+	w.do("a", Wanted{"y1", []byte("y1")})
+	for _, f := range w.flights {
+		if f.from == "a" && !first.Less(f.m.Ballot) {
+			t.Fatalf("%s of %v, and b has a value of %v", f.m.Kind, f.m.Ballot, first)
+		}
+	}
+	w.settle()
+	if w.bad != "" {
+		t.Error(w.bad)
+	}
+}
+
+// Two voters propose at once: c a further value under the promises that it holds, which only c itself has accepted; a another one, for
+// which a and b are a majority. What is under c's ballot must not outrank it later on. Random run 75,962 of 100,000 found the loss of
+// an acknowledged command while promises for what followed were not given beforehand.
+func TestWhatFollowsWithoutAPrepareIsPromised(t *testing.T) {
+	w := newWorld(bounds{}, false)
+	w.do("c", Wanted{"x0", []byte("x0")})
+	w.settle()
+	between := func(only string) { // who hears what goes on
+		for i := 0; i < len(w.flights); {
+			f := w.flights[i]
+			w.flights = slices.Delete(w.flights, i, i+1)
+			if strings.Contains(only, f.from) && strings.Contains(only, f.to) {
+				w.do(f.to, Heard{f.from, f.m})
+				i = 0
+			}
+		}
+	}
+	w.do("c", Wanted{"x1", []byte("x1")})
+	between("bc") // a does not know how far c is
+	w.do("c", Wanted{"x2", []byte("x2")})
+	between("c") // nobody hears it
+	w.do("a", Wanted{"y1", []byte("y1")})
+	between("ab")
+	for range 5 { // what was crossed is tried again
+		w.now += 100
+		w.do("a", Tick{})
+		between("ab")
+	}
+	if !w.acked["y1"] {
+		t.Fatal("a and b are a majority, and did not agree")
+	}
+	w.settle()
+	if w.bad != "" || !slices.Equal(w.agreed, []string{"x0", "x1", "y1", "x2"}) {
+		t.Errorf("%v is agreed on in the end; %s", w.agreed, w.bad)
+	}
+}
--- a/internal/net/fleetlink/link_test.go
+++ b/internal/net/fleetlink/link_test.go
@@ -37,7 +37,7 @@
 		m.Value = []byte(text.Draw(t, "bytes"))
 	}
 	if m.Kind == fleet.Vote {
-		m.Vote = agreement.Message{Kind: agreement.Kind(rapid.IntRange(1, 9).Draw(t, "vote")), Life: 7, Ballot: ballot("ballot"), Prior: ballot("prior"), Accepted: ballot("accepted"),
+		m.Vote = agreement.Message{Kind: agreement.Kind(rapid.IntRange(1, 9).Draw(t, "vote")), Life: 7, Ballot: ballot("ballot"), Next: ballot("next"), Accepted: ballot("accepted"),
 			State: agreement.State{Revision: 3, Lives: map[string]uint64{"a": rapid.Uint64().Draw(t, "a")}, Value: []byte("x")}}
 	}
 	if rapid.Bool().Draw(t, "report") {
--- a/internal/net/fleetlink/words.go
+++ b/internal/net/fleetlink/words.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"larchusher/agreement"
 	"larchusher/fleet"
 	"larchusher/internal/net/fleetlink/linkpb"
+	"larchusher/replica"
 	"larchusher/work"
 )
 
@@ -39,7 +41,10 @@
 		Value: m.Value, HasValue: m.Value != nil, Query: m.Query, Refused: m.Refused}
 	if m.Kind == fleet.Vote {
 		v := m.Vote
-		pb.Vote = &linkpb.Vote{Kind: int32(v.Kind), Life: v.Life, Ballot: ballotOut(v.Ballot), Prior: ballotOut(v.Prior), Accepted: ballotOut(v.Accepted), State: stateOut(v.State)}
+		pb.Vote = &linkpb.Vote{Kind: int32(v.Kind), Life: v.Life, Ballot: ballotOut(v.Ballot), Next: ballotOut(v.Next), Accepted: ballotOut(v.Accepted), State: stateOut(v.State)}
+	}
+	if m.Copy != nil {
+		pb.Copy = copyOut(m.Copy)
 	}
 	if m.Report != nil {
 		pb.Report = &linkpb.Report{Strain: m.Report.Strain}
@@ -58,8 +63,14 @@
 		m.Value = []byte{}
 	}
 	if v := pb.GetVote(); v != nil {
-		m.Vote = agreement.Message{Kind: agreement.Kind(v.GetKind()), Life: v.GetLife(), Ballot: ballotIn(v.GetBallot()), Prior: ballotIn(v.GetPrior()),
+		m.Vote = agreement.Message{Kind: agreement.Kind(v.GetKind()), Life: v.GetLife(), Ballot: ballotIn(v.GetBallot()), Next: ballotIn(v.GetNext()),
 			Accepted: ballotIn(v.GetAccepted()), State: stateIn(v.GetState())}
+		if v.GetPrior() != nil { // of a version whose further values nobody had promised: it has to prepare them
+			m.Vote.Kind = 0
+		}
+	}
+	if c := pb.GetCopy(); c != nil {
+		m.Copy = copyIn(c)
 	}
 	if r := pb.GetReport(); r != nil {
 		m.Report = &fleet.Report{Strain: r.GetStrain(), Machines: map[string]work.Machine{}}
@@ -71,6 +82,46 @@
 	return m
 }
 
+func copyOut(m *replica.Message) *linkpb.Copy {
+	pb := &linkpb.Copy{Kind: int32(m.Kind), Id: m.ID, Most: int32(m.Most), More: m.More, Blank: m.Blank}
+	for _, h := range m.Have {
+		pb.Have = append(pb.Have, &linkpb.Have{Name: h.Life.Name, Life: h.Life.Number, Safety: h.UpTo[replica.Safety], Bulk: h.UpTo[replica.Bulk]})
+	}
+	for _, w := range m.Slots {
+		s := w.Slot
+		pb.Slot = append(pb.Slot, &linkpb.Slot{Writer: s.Writer.Name, Life: s.Writer.Number, Seq: s.Seq, Kind: uint32(s.Kind), Key: s.Key, Value: s.Value, Stamp: s.Stamp,
+			OldestUs: uint64(max(0, w.Oldest.Microseconds())), YoungestUs: uint64(max(0, w.Youngest.Microseconds()))})
+	}
+	for k, sum := range m.Digests {
+		if pb.Digest == nil {
+			pb.Digest = map[uint32]uint64{}
+		}
+		pb.Digest[uint32(k)] = sum
+	}
+	return pb
+}
+
+// oldest is the greatest age that a slot can be told to have, so that no number overflows.
+const oldest = uint64(24 * time.Hour / time.Microsecond)
+
+func copyIn(pb *linkpb.Copy) *replica.Message {
+	m := &replica.Message{Kind: replica.MessageKind(pb.GetKind()), ID: pb.GetId(), Most: int(pb.GetMost()), More: pb.GetMore(), Blank: pb.GetBlank()}
+	for _, h := range pb.GetHave() {
+		m.Have = append(m.Have, replica.Have{Life: replica.Life{Name: h.GetName(), Number: h.GetLife()}, UpTo: [2]uint64{h.GetSafety(), h.GetBulk()}})
+	}
+	for _, s := range pb.GetSlot() {
+		m.Slots = append(m.Slots, replica.Wire{Slot: replica.Slot{Writer: replica.Life{Name: s.GetWriter(), Number: s.GetLife()}, Seq: s.GetSeq(), Kind: replica.Kind(s.GetKind()), Key: s.GetKey(),
+			Value: s.GetValue(), Stamp: s.GetStamp()}, Oldest: time.Duration(min(oldest, s.GetOldestUs())) * time.Microsecond, Youngest: time.Duration(min(oldest, s.GetYoungestUs())) * time.Microsecond})
+	}
+	if d := pb.GetDigest(); d != nil {
+		m.Digests = map[replica.Kind]uint64{}
+		for k, sum := range d {
+			m.Digests[replica.Kind(k)] = sum
+		}
+	}
+	return m
+}
+
 // EncodeVote words a vote for its file, and DecodeVote reads it.
 func EncodeVote(v agreement.Vote) ([]byte, error) {
 	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(&linkpb.Kept{Life: v.Life, Promised: ballotOut(v.Promised), Accepted: ballotOut(v.Accepted),
