--- a/cmd/larchusher-lab/procs.go
+++ b/cmd/larchusher-lab/procs.go
@@ -28,6 +28,7 @@
 	Draw    string   `help:"With --plan: write what came of it as a picture." placeholder:"FILE"`
 	Times   int      `help:"Grants measured of each." default:"60"`
 	Show    bool     `help:"Print the plots, and play none."`
+	Shared  string   `help:"Draw plots in which purges and drains are told late: on, with what gateways know kept in common; off: without." enum:"on,off," default:""`
 	Seed    uint64   `help:"Of the first drawn plot." default:"1"`
 	Plots   int      `help:"How many are drawn." default:"10"`
 	Jobs    int      `help:"How many are played at once." default:"4"`
@@ -74,7 +75,14 @@
 		plots = append(plots, p)
 	} else {
 		for i := range c.Plots {
-			plots = append(plots, procs.Draw(c.Seed+uint64(i)))
+			p := procs.Draw(c.Seed + uint64(i))
+			if c.Shared != "" {
+				p = procs.DrawShared(c.Seed + uint64(i))
+			}
+			if c.Shared == "off" {
+				p.Events[0].What = "apart"
+			}
+			plots = append(plots, p)
 		}
 	}
 	if c.Show {
@@ -89,6 +97,9 @@
 		bad, done     int
 		asked, served int
 		took          []time.Duration
+		equal         []time.Duration
+		stale, drain  int
+		told          int
 		next          = make(chan *procs.Plot)
 	)
 	for range max(1, c.Jobs) {
@@ -114,6 +125,10 @@
 						p.Gateways, v.Done, v.Asked, v.Ended.Round(100*time.Millisecond), v.Client.Asked, v.Client.Served, v.Client.Refused, v.Client.Failed, v.Client.Excused, v.Held)
 				}
 				if v != nil {
+					stale, drain, told = stale+v.Stale, drain+v.Drained, told+v.Told
+					if v.Equal > 0 {
+						equal = append(equal, v.Equal)
+					}
 					done += v.Done
 					asked += v.Client.Asked
 					served += v.Client.Served
@@ -134,6 +149,14 @@
 	if n := len(took); n > 0 {
 		fmt.Printf("from asking to granted, faults and bounds included: median %v, p99 %v\n", took[n/2].Round(time.Millisecond), took[n*99/100].Round(time.Millisecond))
 	}
+	if told > 0 {
+		slices.Sort(equal)
+		fmt.Printf("%d purges told; %d asks would have taken what others knew to be purged, %d went where others knew of a drain", told, stale, drain)
+		if n := len(equal); n > 0 {
+			fmt.Printf("; all knew the same after the last fault: median %v, most %v", equal[n/2].Round(time.Millisecond), equal[n-1].Round(time.Millisecond))
+		}
+		fmt.Println()
+	}
 	fmt.Printf("%d plots, %d with a fault; %d works done; of %d requests %d were served\n", len(plots), bad, done, asked, served)
 	if bad > 0 {
 		return fmt.Errorf("%d of %d plots broke a rule", bad, len(plots))
--- a/cmd/larchusher/serve.go
+++ b/cmd/larchusher/serve.go
@@ -231,7 +231,11 @@
 		}
 	}
 	check := &agentcheck.Checker{Loop: p.loop, Metrics: metrics.Source(p.counters).Text, State: func() agentcheck.State {
-		return agentcheck.State{Ready: p.feed.Connected() && (p.fleet == nil || p.fleet.Ready()), Draining: p.draining, Weight: p.gw.Weight()}
+		s := agentcheck.State{Ready: p.feed.Connected() && (p.fleet == nil || p.fleet.Ready()), Draining: p.draining, Weight: p.gw.Weight()}
+		if p.fleet != nil && p.fleet.CatchingUp() {
+			s.Ready, s.Why = false, "catching up"
+		}
+		return s
 	}}
 	for _, l := range []struct {
 		addr, what string
--- /dev/null
+++ b/cmd/larchusher/shared.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"larchusher/fleet"
+	"larchusher/replica"
+)
+
+// sharedState is what a gateway tells of what is kept in common.
+type sharedState struct {
+	Gateway  string               `json:"gateway"`
+	Catching bool                 `json:"catching_up"`
+	Slots    int                  `json:"slots"`
+	Rows     []replica.Row        `json:"rows"`
+	Differ   []replica.Difference `json:"differences"`
+}
+
+func (f *fleetFlags) shared(at, kind string) (*sharedState, error) {
+	one := *f
+	if at != "" {
+		one.At = at
+	}
+	m, err := one.ask(fleet.Message{Query: "shared", Value: []byte(kind)})
+	if err == nil && m.Refused != "" {
+		err = errors.New("state: refused: " + m.Refused)
+	}
+	if err != nil {
+		return nil, err
+	}
+	var s sharedState
+	if err := json.Unmarshal(m.Value, &s); err != nil {
+		return nil, fmt.Errorf("state: the reply: %w", err)
+	}
+	return &s, nil
+}
+
+// stateShared is the sub-command `state shared`.
+type stateShared struct {
+	fleetFlags
+	Kind string `help:"Of this kind only: purge, drain, cold, forget, health, listing."`
+	JSON bool   `name:"json" help:"Print JSON."`
+}
+
+// Run shows a gateway's copy.
+func (c *stateShared) Run() error {
+	s, err := c.shared("", c.Kind)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(s)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "KIND\tKEY\tBY\tNUMBER\tAGE MS\tVALUE")
+	for _, r := range s.Rows {
+		fmt.Fprintf(w, "%s\t%q\t%s\t%d\t%d\t%s\n", r.Kind, r.Key, r.By, r.Seq, r.AgeMs, r.Value)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	fmt.Printf("%s: %d slots", s.Gateway, s.Slots)
+	if s.Catching {
+		fmt.Print(", catching up")
+	}
+	fmt.Println()
+	for _, d := range s.Differ {
+		fmt.Printf("differed from %s in %s: %s\n", d.With, d.Kind, d.Cause)
+	}
+	return nil
+}
+
+// stateDiff is the sub-command `state diff`.
+type stateDiff struct {
+	fleetFlags
+	A    string `arg:"" help:"A gateway."`
+	B    string `arg:"" help:"Another one."`
+	Kind string `help:"Of this kind only."`
+}
+
+// Run compares two copies. What one was told a moment ago the other may not have heard yet.
+func (c *stateDiff) Run() error {
+	a, err := c.shared(c.A, c.Kind)
+	if err != nil {
+		return err
+	}
+	b, err := c.shared(c.B, c.Kind)
+	if err != nil {
+		return err
+	}
+	if len(a.Rows) < a.Slots || len(b.Rows) < b.Slots {
+		fmt.Printf("only the first %d of %d and %d slots are compared: name a --kind\n", min(len(a.Rows), len(b.Rows)), a.Slots, b.Slots)
+	}
+	name := func(r replica.Row) string { return fmt.Sprintf("%s %q by %s %x", r.Kind, r.Key, r.By, r.Life) }
+	rows := map[string]replica.Row{}
+	for _, r := range a.Rows {
+		rows[name(r)] = r
+	}
+	differ := 0
+	for _, r := range b.Rows {
+		was, ok := rows[name(r)]
+		delete(rows, name(r))
+		switch {
+		case !ok:
+			fmt.Printf("only at %s: %s %s\n", c.B, name(r), r.Value)
+		case was.Seq != r.Seq || string(was.Value) != string(r.Value):
+			fmt.Printf("%s: number %d, %s at %s; number %d, %s at %s\n", name(r), was.Seq, was.Value, c.A, r.Seq, r.Value, c.B)
+		default:
+			continue
+		}
+		differ++
+	}
+	for n, r := range rows {
+		differ++
+		fmt.Printf("only at %s: %s %s\n", c.A, n, r.Value)
+	}
+	if differ > 0 {
+		return fmt.Errorf("state: %d differences", differ)
+	}
+	return nil
+}
+
+// stateForget is the sub-command `state forget`.
+type stateForget struct {
+	fleetFlags
+	Kind string   `arg:"" help:"health or listing."`
+	Key  string   `arg:"" help:"As state shared shows it."`
+	Why  []string `arg:"" help:"The reason, which is told with it."`
+}
+
+// Run has something forgotten at all gateways.
+func (c *stateForget) Run() error {
+	value, err := json.Marshal(struct{ Kind, Key, Why string }{c.Kind, c.Key, strings.Join(c.Why, " ") + ", " + by()})
+	if err != nil {
+		return err
+	}
+	m, err := c.ask(fleet.Message{Query: "forget", Value: value})
+	if err == nil && m.Refused != "" {
+		err = errors.New("state: refused: " + m.Refused)
+	}
+	return err
+}
--- a/cmd/larchusher/state.go
+++ b/cmd/larchusher/state.go
@@ -16,6 +16,9 @@
 type state struct {
 	Show   stateShow   `cmd:"" help:"Show what is kept."`
 	Verify stateVerify `cmd:"" help:"Read all files, and end with status 1 if the newest is not whole."`
+	Shared stateShared `cmd:"" help:"Show what a gateway knows in common with the others."`
+	Diff   stateDiff   `cmd:"" help:"Compare what two gateways know in common; status 1 if it differs."`
+	Forget stateForget `cmd:"" help:"Have all gateways forget a thing, for a stated reason."`
 	Prune  statePrune  `cmd:"" help:"Remove all but the newest whole file, and what writes left behind that did not end. Only while no gateway runs."`
 }
 
--- a/cmd/larchusher/work.go
+++ b/cmd/larchusher/work.go
@@ -39,12 +39,27 @@
 
 // order sends an order to one gateway after the other until one answers.
 func (f *fleetFlags) order(c *work.Command, query string) (fleet.Message, error) {
+	m := fleet.Message{Query: query}
+	if c != nil {
+		if c.By == "" {
+			c.By = by()
+		}
+		var err error
+		if m.Value, err = json.Marshal(c); err != nil {
+			return fleet.Message{}, fmt.Errorf("work: %w", err)
+		}
+	}
+	return f.ask(m)
+}
+
+// ask sends a message to one gateway after the other until one answers.
+func (f *fleetFlags) ask(m fleet.Message) (fleet.Message, error) {
 	op, err := config.LoadOperator(f.Operator, os.Getenv)
 	if err != nil {
 		return fleet.Message{}, err
 	}
 	if op.Fleet == nil {
-		return fleet.Message{}, errors.New("work: the operator's file (--operator) has no fleet")
+		return fleet.Message{}, errors.New("the operator's file (--operator) has no fleet")
 	}
 	members := op.Fleet.Members
 	if f.At != "" {
@@ -54,15 +69,6 @@
 		}
 		members = []config.FleetMember{{Name: f.At, Address: addr}}
 	}
-	m := fleet.Message{Query: query}
-	if c != nil {
-		if c.By == "" {
-			c.By = by()
-		}
-		if m.Value, err = json.Marshal(c); err != nil {
-			return fleet.Message{}, fmt.Errorf("work: %w", err)
-		}
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), f.Timeout)
 	defer cancel()
 	var last error
@@ -79,7 +85,7 @@
 		case <-time.After(200 * time.Millisecond):
 		}
 	}
-	return fleet.Message{}, fmt.Errorf("work: no gateway answered in %v: %w", f.Timeout, last)
+	return fleet.Message{}, fmt.Errorf("no gateway answered in %v: %w", f.Timeout, last)
 }
 
 func askOne(ctx context.Context, g config.FleetMember, key []byte, m fleet.Message) (fleet.Message, error) {
--- a/control/memory.go
+++ b/control/memory.go
@@ -154,7 +154,15 @@
 			u.Cold++
 			continue
 		}
-		if d.table[l.Key] != nil || len(d.table) >= tableSize*listSize*max(1, len(d.inUse[cache])) {
+		if old := d.table[l.Key]; old != nil { // a file and neighbours may both tell of it: the later use holds
+			if old.last < l.Last {
+				old.at, old.boot, old.hitAt, old.had, old.last, old.avg, old.count, old.work = s, s.boot, l.HitAt, l.Last, l.Last, l.Gap, l.Count, l.Work
+				d.used.MoveToFront(old.used)
+				u.Listings++
+			}
+			continue
+		}
+		if len(d.table) >= tableSize*listSize*max(1, len(d.inUse[cache])) {
 			continue
 		}
 		e := &entry{key: l.Key, at: s, boot: s.boot, hitAt: l.HitAt, had: l.Last, last: l.Last, avg: l.Gap, count: l.Count, work: l.Work}
@@ -178,7 +186,7 @@
 	switch {
 	case s == nil || !s.up:
 		u.Gone++
-	case s.boot != boot:
+	case (s.boot - boot).Abs() >= time.Millisecond: // a gateway's clock gives one start to some microseconds
 		u.Restarted++
 	default:
 		return s
--- a/fleet/explore_test.go
+++ b/fleet/explore_test.go
@@ -132,7 +132,7 @@
 		w.clock.Run(limit)
 		if d, err := work.Decode(w.latest.Value); err == nil && len(d.Requests) == 3 &&
 			!slices.ContainsFunc(d.Requests, func(r *work.Request) bool { return !r.Stage.Ended() }) {
-			return w, ""
+			return w, w.kept(d)
 		}
 	}
 	if w.bad == "" {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"larchusher/agreement"
+	"larchusher/replica"
 	"larchusher/work"
 )
 
@@ -52,6 +53,7 @@
 	Order                   // a command, or a question with the Query it is; from a gateway or an operator's tool
 	Reply                   // the answer
 	Unknown                 // of a later version; passed over, and counted
+	Share                   // between copies of what gateways know in common: Copy. Not for this package
 )
 
 // Message goes between gateways, and between an operator's tool and one of them.
@@ -67,8 +69,9 @@
 	Stopped  uint64 // and has stopped for all drains up to this
 	Report   *Report
 	Value    []byte // of a View: the state in brief, if it is another; of an Order: the command; of a Reply: what it came to
-	Query    string // of an Order: "state" or "plan"; empty: a command
+	Query    string // of an Order: "state" or "plan", or one of the host's; empty: a command
 	Refused  string // of a Reply
+	Copy     *replica.Message
 }
 
 // Event is anything that reaches a node.
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -36,6 +36,7 @@
 	sent    int
 	bytes   int
 	replies map[uint64]Message
+	acked   map[string]bool // machines whose requests somebody has taken
 	serial  uint64
 
 	befall  func(from, to string) bool // nil: nothing befalls a message
@@ -67,7 +68,7 @@
 }
 
 func newWorld(seed uint64, n int) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 5)), nodes: map[string]*member{}, cut: map[[2]string]bool{}, boxes: map[string]*box{}, replies: map[uint64]Message{},
+	w := &world{rng: rand.New(rand.NewPCG(seed, 5)), nodes: map[string]*member{}, cut: map[[2]string]bool{}, boxes: map[string]*box{}, replies: map[uint64]Message{}, acked: map[string]bool{},
 		bounds: work.Bounds{Lease: 2 * time.Second, Grace: 500 * time.Millisecond, Ramp: 4 * time.Second, AtOnce: 3, Parents: 1}}
 	if err := w.bounds.Check(); err != nil {
 		panic(err)
@@ -334,7 +335,14 @@
 	id := w.serial
 	w.send("tool", w.names[w.rng.IntN(len(w.names))], Message{Kind: Order, ID: id, Value: b})
 	w.clock.At(w.clock.Now+700*time.Millisecond, func() {
-		if _, ok := w.replies[id]; !ok && tries > 0 {
+		m, ok := w.replies[id]
+		var r work.Reply
+		if c.Ask != nil {
+			if ok = ok && m.Refused == "" && json.Unmarshal(m.Value, &r) == nil && r.Refused == ""; ok {
+				w.acked[c.Ask.Machine] = true
+			}
+		}
+		if !ok && tries > 0 { // a gateway that has just begun knows no machines
 			w.order(c, tries-1)
 		}
 	})
@@ -344,6 +352,16 @@
 	w.order(work.Command{Ask: &work.Ask{Key: "k-" + machine, Machine: machine, ForMs: 5000, After: after}}, 30)
 }
 
+// kept says that no request which was taken is missing from a state.
+func (w *world) kept(s *work.State) string {
+	for m := range w.acked {
+		if !slices.ContainsFunc(s.Requests, func(r *work.Request) bool { return r.Machine == m }) {
+			return "the request for " + m + " was taken, and is not in the state"
+		}
+	}
+	return ""
+}
+
 // trouble makes one of the faults.
 func (w *world) trouble(at time.Duration) {
 	w.clock.At(at, func() {
@@ -437,7 +455,7 @@
 	for limit := end; limit < 200*time.Second && w.bad == ""; limit += 5 * time.Second {
 		w.clock.Run(limit)
 		if d, err := work.Decode(w.latest.Value); err == nil && limit > end && !slices.ContainsFunc(d.Requests, func(r *work.Request) bool { return !r.Stage.Ended() }) {
-			return w, ""
+			return w, w.kept(d)
 		}
 	}
 	if w.bad == "" {
--- a/gateway/hold.go
+++ b/gateway/hold.go
@@ -15,10 +15,12 @@
 type holds struct {
 	list map[string]control.Member // as the list has it
 	held map[string]bool
+	news int // lists and purges that were told
 }
 
 // listed takes in a list and gives it as the director is to see it.
 func (h *holds) listed(m control.Members) control.Members {
+	h.news++
 	if h.list == nil {
 		h.list = map[string]control.Member{}
 	}
@@ -113,3 +115,9 @@
 	}
 	return g.base.Add(boot - g.baseUnix)
 }
+
+// News counts the lists and purges that the gateway was told by its journal.
+func (g *Gateway) News() int { return g.hold.news + int(g.Counters.Purges) }
+
+// Listed are the stores as the list has them. They are not to be changed.
+func (g *Gateway) Listed() map[string]control.Member { return g.hold.list }
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -253,3 +255,26 @@
 	}
 	return s.Use(g.now(), gateway, settings, all)
 }
+
+// Remember has the director of a zone take in what neighbours know, for what it is still worth by its age.
+func (g *Gateway) Remember(m control.Memory) (u control.Used) {
+	for i, d := range g.directors {
+		if g.names[i] == m.Zone {
+			u = d.Import(g.now(), m, knowledge.Worth)
+		}
+	}
+	return u
+}
+
+// Told is the purge of a name of package purges, so long ago, as a neighbour has it.
+func (g *Gateway) Told(name string, ago time.Duration) {
+	p := control.Purge{Object: name, Ago: ago}
+	if group, ok := strings.CutPrefix(name, " "); ok {
+		n, err := strconv.Atoi(group)
+		if err != nil {
+			return
+		}
+		p = control.Purge{Group: n, Ago: ago}
+	}
+	g.handleAll(p)
+}
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -1,11 +1,13 @@
 package config
 
 import (
+	"cmp"
 	"encoding/hex"
 	"errors"
 	"fmt"
 	"net/netip"
 	"strings"
+	"time"
 
 	"larchusher/internal/config/operatorpb"
 	"larchusher/work"
@@ -20,10 +22,44 @@
 	Key     []byte
 	Folder  string // empty: nothing lasts
 	Bounds  work.Bounds
+	// Replicate: nil: what is known is not kept in common.
+	Replicate *Replicate
 	// ClockFile holds milliseconds by which the wall clock is to be off, for experiments alone; empty: none.
 	ClockFile string
 }
 
+// Replicate says how what gateways know is kept in common.
+type Replicate struct {
+	Wait     time.Duration // a start waits so long for neighbours
+	Bytes    int           // a second, that others are sent
+	Listings int           // that others are told of
+}
+
+const (
+	replicateWait     = 3 * time.Second
+	replicateWaitMost = 30 * time.Second
+	replicateBytes    = 256 << 10
+	replicateListings = 512
+	replicateMost     = 4096
+)
+
+func readReplicate(pb *operatorpb.Replicate) (r *Replicate, err error) {
+	if pb == nil {
+		return nil, nil
+	}
+	r = &Replicate{Bytes: cmp.Or(int(pb.GetBytes()), replicateBytes), Listings: cmp.Or(int(pb.GetListings()), replicateListings)}
+	if r.Wait, err = span("fleet.replicate.wait", pb.GetWait(), replicateWait, 100*time.Millisecond, replicateWaitMost); err != nil {
+		return nil, err
+	}
+	if r.Bytes < 16<<10 || r.Bytes > 64<<20 {
+		return nil, fault("fleet.replicate.bytes", fmt.Errorf("%d is not from 16384 to 67108864", r.Bytes))
+	}
+	if r.Listings < 0 || r.Listings > replicateMost {
+		return nil, fault("fleet.replicate.listings", fmt.Errorf("%d is not from 0 to %d", r.Listings, replicateMost))
+	}
+	return r, nil
+}
+
 // FleetMember is one gateway.
 type FleetMember struct{ Name, Address string }
 
@@ -97,6 +133,9 @@
 	if f.Key, err = hex.DecodeString(env(pb.GetKeyEnv())); pb.GetKeyEnv() == "" || err != nil || len(f.Key) < fleetKey {
 		return nil, fault("fleet.key_env", fmt.Errorf("%q is not the name of a variable with %d bytes or more in hex", pb.GetKeyEnv(), fleetKey))
 	}
+	if f.Replicate, err = readReplicate(pb.GetReplicate()); err != nil {
+		return nil, err
+	}
 	w := pb.GetWork()
 	f.Bounds = work.Bounds{Full: w.GetFull(), ZoneShare: w.GetZoneShare(), Parents: int(w.GetParents()), AtOnce: int(w.GetAtOnce()), Patience: int(w.GetPatience())}
 	if f.Bounds.Lease, err = span("fleet.work.lease", w.GetLease(), 0, 0, 1<<62); err != nil {
--- a/internal/fleethost/host.go
+++ b/internal/fleethost/host.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strconv"
@@ -20,6 +21,7 @@
 	"larchusher/internal/net/fleetlink"
 	"larchusher/internal/net/transport"
 	"larchusher/internal/snapshot"
+	"larchusher/replica"
 	"larchusher/work"
 )
 
@@ -46,6 +48,9 @@
 	// Leave is called when this gateway is to drain itself; the function that it is given is to be called once it has.
 	Leave func(left func())
 
+	shared  *sharing // nil: nothing is kept in common
+	settles time.Duration
+
 	began  time.Time
 	hold   fleet.Hold
 	seenAt time.Time
@@ -56,7 +61,7 @@
 
 // Start starts the part of a gateway. Zone is its own. The gateway must ask Permit before it writes.
 func Start(cfg *config.Fleet, set control.Settings, gw *gateway.Gateway, loop *gateway.Loop, engine *transport.Engine, log logrus.FieldLogger) (*Host, error) {
-	h := &Host{cfg: cfg, loop: loop, gw: gw, log: log.WithField("fleet", cfg.Name), zone: set.Zone, began: time.Now().Add(-time.Second)}
+	h := &Host{cfg: cfg, loop: loop, gw: gw, log: log.WithField("fleet", cfg.Name), zone: set.Zone, settles: set.PurgeSettles, began: time.Now().Add(-time.Second)}
 	bounds := cfg.Bounds
 	longest := time.Duration(0)
 	for _, c := range set.Classes {
@@ -83,8 +88,11 @@
 		members = append(members, fleetlink.Member{Name: m.Name, Addr: m.Address})
 	}
 	h.link, err = fleetlink.Open(cfg.Name, cfg.Listen, members, cfg.Key, loop, engine, h.log, func(from string, m fleet.Message) {
-		h.do(fleet.Heard{From: from, Message: m})
+		h.heard(from, m)
 	})
+	if err == nil {
+		err = h.share()
+	}
 	if err != nil {
 		h.free()
 		return nil, err
@@ -94,6 +102,33 @@
 	return h, nil
 }
 
+// heard hands a message to whom it is for.
+func (h *Host) heard(from string, m fleet.Message) {
+	switch asks := m.Kind == fleet.Order && (m.Query == queryShared || m.Query == queryForget); {
+	case h.closed:
+	case m.Kind == fleet.Share && h.shared != nil && m.Copy != nil:
+		h.shared.do(replica.Heard{From: from, Message: *m.Copy})
+	case asks && h.shared != nil:
+		h.shared.query(from, m)
+	case asks:
+		h.link.Send(from, fleet.Message{Kind: fleet.Reply, ID: m.ID, Refused: "this gateway keeps nothing in common: fleet.replicate is off"})
+	default:
+		h.do(fleet.Heard{From: from, Message: m})
+	}
+}
+
+// holdAll holds what is out for work, and what a neighbour was told drains.
+func (h *Host) holdAll() {
+	all := maps.Clone(h.hold.Machines)
+	if h.shared != nil && len(h.shared.held) > 0 {
+		if all == nil {
+			all = map[string]bool{}
+		}
+		maps.Copy(all, h.shared.held)
+	}
+	h.gw.Hold(all)
+}
+
 // newLife is a number that no start before had.
 func newLife() uint64 {
 	var b [8]byte
@@ -175,6 +210,9 @@
 		h.do(fleet.Seen{Report: h.report()})
 	}
 	h.do(fleet.Tick{})
+	if h.shared != nil {
+		h.shared.tick()
+	}
 	h.idle()
 	h.loop.After(tickEvery, h.tick)
 }
@@ -218,7 +256,7 @@
 			h.store(viewFile, a.Value, fleet.ViewStored{Revision: a.Revision})
 		case fleet.Hold:
 			h.hold = a
-			h.gw.Hold(a.Machines)
+			h.holdAll()
 			h.loop.Post(h.idle)
 		case fleet.Leave:
 			h.log.Info("this gateway's own turn: it drains itself")
@@ -279,6 +317,9 @@
 	if h.node.Leased(h.now()) {
 		v["fleet_leased"] = 1
 	}
+	if h.shared != nil {
+		h.shared.values(v)
+	}
 	if c, ok := h.node.Agreed(); ok {
 		v["agreement_rounds"], v["agreement_confirms"], v["agreement_crossed"] = float64(c.Rounds), float64(c.Confirms), float64(c.Crossed)
 		v["agreement_expired"], v["agreement_admitted"] = float64(c.Expired), float64(c.Admitted)
--- /dev/null
+++ b/internal/fleethost/share.go
@@ -0,0 +1,148 @@
+package fleethost
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"larchusher/fleet"
+	"larchusher/knowledge"
+	"larchusher/replica"
+)
+
+const (
+	tellEvery   = 500 * time.Millisecond
+	rowsMost    = 2000 // slots that a tool is shown
+	queryShared = "shared"
+	queryForget = "forget"
+)
+
+// sharing is the part that keeps in common what gateways know. It lives on the loop.
+type sharing struct {
+	h      *Host
+	node   *replica.Node
+	sharer *knowledge.Sharer
+	told   time.Time
+	news   int             // of the journal, that was told on
+	held   map[string]bool // on others' word
+	slow   time.Duration   // the longest that the loop was held up
+	caught *replica.CaughtUp
+}
+
+func (h *Host) share() error {
+	r := h.cfg.Replicate
+	if r == nil {
+		return nil
+	}
+	c := replica.Config{Self: replica.Life{Name: h.cfg.Name, Number: newLife()}, Settles: h.settles, Bytes: r.Bytes, Wait: r.Wait, Seed: newLife(),
+		Wall: func() time.Duration { return time.Duration(h.wall()) * time.Millisecond }}
+	for _, m := range h.cfg.Members {
+		c.Members = append(c.Members, m.Name)
+	}
+	node, err := replica.NewNode(c)
+	if err != nil {
+		return err
+	}
+	h.shared = &sharing{h: h, node: node, sharer: knowledge.NewSharer(node, h.zone, r.Listings)}
+	return nil
+}
+
+// CatchingUp says that the gateway doesn't know yet what its neighbours know.
+func (h *Host) CatchingUp() bool { return h.shared != nil && h.shared.node.CatchingUp() }
+
+func (s *sharing) do(e replica.Event) {
+	began := time.Now()
+	for _, a := range s.node.Handle(s.h.now(), e, nil) {
+		switch a := a.(type) {
+		case replica.Send:
+			m := a.Message
+			s.h.link.Send(a.To, fleet.Message{Kind: fleet.Share, Copy: &m})
+		case replica.Learned:
+			for _, x := range a.Slots {
+				if x.Kind == replica.Purge { // at once: the own journal may be late
+					s.h.gw.Told(x.Key, s.h.now()-x.Late)
+				}
+			}
+			s.hold()
+		case replica.CaughtUp:
+			s.caught = &a
+			u := s.h.gw.Remember(s.sharer.Gather(s.h.now(), s.h.gw.Clock(s.h.loop.Now()), s.h.gw.Listed()))
+			s.h.log.WithField("from", a.From).Infof("caught up after %v: %d listings, %d stores and %d purges used of %d slots", a.Took.Round(time.Millisecond), u.Listings, u.Servers,
+				u.Purges, s.node.Len())
+		}
+	}
+	s.slow = max(s.slow, time.Since(began))
+}
+
+func (s *sharing) tick() {
+	s.do(replica.Tick{})
+	// What the journal told is told on at once; what is learned by itself, now and then.
+	if now, news := s.h.loop.Now(), s.h.gw.News(); now.Sub(s.told) >= tellEvery || news != s.news {
+		s.told, s.news = now, news
+		began := time.Now()
+		for _, m := range s.h.gw.Learned(s.h.cfg.Replicate.Listings)[:1] { // of the own zone
+			s.sharer.Tell(s.h.now(), m, s.h.gw.Listed())
+		}
+		s.hold()
+		s.slow = max(s.slow, time.Since(began))
+	}
+}
+
+// hold has stores drained that a neighbour was told drain, beside those that are out for work.
+func (s *sharing) hold() {
+	held := s.sharer.Holds(s.h.now(), s.h.gw.Listed())
+	if maps.Equal(held, s.held) {
+		return
+	}
+	s.held = held
+	s.h.log.WithField("stores", slices.Sorted(maps.Keys(held))).Info("held on others' word")
+	s.h.holdAll()
+}
+
+// shown is what a tool is told.
+type shown struct {
+	Gateway  string               `json:"gateway"`
+	Catching bool                 `json:"catching_up,omitempty"`
+	Slots    int                  `json:"slots"`
+	Rows     []replica.Row        `json:"rows"`
+	Differ   []replica.Difference `json:"differences,omitempty"`
+}
+
+// query answers a tool by itself: what is kept in common is asked of the gateway that is asked.
+func (s *sharing) query(from string, m fleet.Message) {
+	reply := fleet.Message{Kind: fleet.Reply, ID: m.ID}
+	var err error
+	switch {
+	case m.Query == queryShared:
+		out := shown{Gateway: s.h.cfg.Name, Catching: s.node.CatchingUp(), Differ: s.node.Differences()}
+		out.Rows, out.Slots = s.node.Rows(s.h.now(), string(m.Value), rowsMost)
+		reply.Value, err = json.Marshal(out)
+	default:
+		var f struct{ Kind, Key, Why string }
+		if err = json.Unmarshal(m.Value, &f); err == nil {
+			var key string
+			var value []byte
+			if key, value, err = knowledge.ParseForget(f.Kind, f.Key, f.Why); err == nil {
+				s.node.Say(s.h.now(), replica.Forget, key, value, s.h.now())
+				s.h.log.WithField("audit", "state").Infof("%s of %s is forgotten, asked by %s: %s", f.Kind, f.Key, from, f.Why)
+			}
+		}
+	}
+	if err != nil {
+		reply.Refused = err.Error()
+	}
+	s.h.link.Send(from, reply)
+}
+
+func (s *sharing) values(v map[string]float64) {
+	c, n := s.node.Counters, s.node.Stats
+	for name, x := range map[string]uint64{"written": c.Written, "taken": c.Taken, "known": c.Known, "expired": c.Expired, "crowded": c.Crowded, "refused": c.Refused, "aged": c.Aged,
+		"buried": c.Buried, "pulls": n.Pulls, "answers": n.Answers, "lost": n.Lost, "hints": n.Hints, "stale": n.Stale, "throttled": n.Throttled, "checked": n.Checked,
+		"differed": n.Differed, "slots": uint64(s.node.Len()), "living": uint64(s.node.Living(s.h.now())), "held": uint64(len(s.held)), "slowest_us": uint64(s.slow.Microseconds())} {
+		v["shared_"+name] = float64(x)
+	}
+	if s.node.CatchingUp() {
+		v["shared_catching_up"] = 1
+	}
+}
--- a/internal/net/agentcheck/agentcheck.go
+++ b/internal/net/agentcheck/agentcheck.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"time"
@@ -18,7 +19,8 @@
 type State struct {
 	Ready    bool
 	Draining bool
-	Weight   int // in percent: what part of its usual share the gateway can take
+	Why      string // it is not ready; empty: it says nothing of that
+	Weight   int    // in percent: what part of its usual share the gateway can take
 }
 
 // Checker answers checks. Its methods run on the loop.
@@ -33,6 +35,8 @@
 	switch {
 	case s.Draining:
 		return "drain\n"
+	case !s.Ready && s.Why != "": // what follows a number sign is for people
+		return "down #" + s.Why + "\n"
 	case !s.Ready:
 		return "down\n"
 	}
@@ -130,7 +134,7 @@
 		case s.Draining:
 			status, text = "503 Service Unavailable", "draining\n"
 		case !s.Ready:
-			status, text = "503 Service Unavailable", "down\n"
+			status, text = "503 Service Unavailable", cmp.Or(s.Why, "down")+"\n"
 		}
 		body := text
 		if bytes.HasPrefix(line, []byte("HEAD")) {
--- /dev/null
+++ b/knowledge/shared.go
@@ -0,0 +1,193 @@
+package knowledge
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"larchusher/control"
+	"larchusher/replica"
+)
+
+// What a gateway tells the others of what it has learned, and what it makes of what they tell: control.Memory to slots of package
+// replica and back. Two clocks meet here, the director's and the copy's; only ages go from one to the other.
+
+const (
+	sameListing = 20 * time.Second       // what somebody said of an object so lately is not said again
+	samePurge   = 500 * time.Millisecond // two notices of one purge differ by less
+	heldWithin  = 10 * time.Second       // a drain that the own list has not told of counts for so long
+	heldShare   = 4                      // at most one in so many stores of a kind and zone is held on others' word alone
+)
+
+// Sharer does both for one gateway. Use NewSharer.
+type Sharer struct {
+	Told, Held int // slots said; stores held on others' word now
+
+	node  *replica.Node
+	zone  string
+	most  int
+	up    map[string]control.Member // stores that the list had in use, when it was last looked at
+	voice map[string]bool           // stores of which something was said
+}
+
+// NewSharer returns a sharer for a gateway of a zone, that tells of so many listings at most.
+func NewSharer(node *replica.Node, zone string, most int) *Sharer {
+	return &Sharer{node: node, zone: zone, most: most, up: map[string]control.Member{}, voice: map[string]bool{}}
+}
+
+// bootMs tells starts apart at all gateways alike, whose clocks give one to a few microseconds.
+func bootMs(boot time.Duration) int64 { return boot.Round(time.Millisecond).Milliseconds() }
+
+// Tell says what is news of what a director has learned and of the list: what is a matter of safety first, then what speaks against
+// stores, then listings, the most used first, until the copy takes no more. Now is the copy's clock; m.At the director's.
+func (s *Sharer) Tell(now time.Duration, m control.Memory, list map[string]control.Member) {
+	seen := func(at time.Duration) time.Duration { return now - max(0, m.At-at) }
+	say := func(k replica.Kind, key string, value []byte, at time.Duration) bool {
+		if !s.node.Say(now, k, key, value, at) {
+			return false
+		}
+		s.Told++
+		return true
+	}
+	known := s.node.Purges(now)
+	for _, p := range m.Purges {
+		// What a neighbour said of it will do: three hundred gateways need not say it each.
+		if at, ok := known[p.Name]; !ok || seen(p.At) > at+samePurge {
+			say(replica.Purge, p.Name, nil, seen(p.At))
+		}
+	}
+	for id, e := range list {
+		if e.Phase == control.Up {
+			if s.up[id] = e; s.node.Said(replica.Drain, id) {
+				say(replica.Drain, id, replica.Encode(replica.Notice{BootMs: bootMs(e.Boot), Up: true}), now)
+			}
+		}
+	}
+	for id, was := range s.up {
+		if e, ok := list[id]; !ok || e.Phase != control.Up {
+			say(replica.Drain, id, replica.Encode(replica.Notice{BootMs: bootMs(was.Boot)}), now)
+			delete(s.up, id)
+		}
+	}
+	for _, h := range m.Servers {
+		e := evidence(h, m.At)
+		switch bad := e.Bad(); {
+		case bad && h.Seen > 0 && m.At-h.Seen < HalfFailing:
+			s.voice[h.Server] = true
+			say(replica.Health, h.Server, replica.Encode(e), seen(h.Seen))
+		case !bad && s.voice[h.Server]: // it is well again: that is said once
+			if delete(s.voice, h.Server); s.node.Said(replica.Health, h.Server) {
+				say(replica.Health, h.Server, replica.Encode(replica.Evidence{BootMs: e.BootMs}), now)
+			}
+		}
+	}
+	hot := slices.Clone(m.Listings)
+	slices.SortFunc(hot, func(a, b control.Listing) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Key, b.Key))
+	})
+	for _, l := range hot[:min(s.most, len(hot))] {
+		key := s.key(l.Key)
+		if by, at, ok := s.node.Listed(now, key); ok && by == l.Server && now-at < sameListing {
+			continue
+		}
+		p := replica.Place{Server: l.Server, BootMs: bootMs(l.Boot), Count: math.Round(l.Count), GapMs: l.Gap.Milliseconds(), WorkMs: l.Work.Milliseconds()}
+		if !say(replica.Listing, key, replica.Encode(p), seen(l.Last)) && s.node.Full() {
+			return
+		}
+	}
+}
+
+// evidence words what is known of a store, coarsely: what hardly changes is not said again.
+func evidence(h control.Health, at time.Duration) replica.Evidence {
+	tenth := func(x float64) float64 { return math.Round(min(1, max(0, x))*10) / 10 }
+	e := replica.Evidence{BootMs: bootMs(h.Boot), Failing: tenth(h.Failing), Late: tenth(h.Late)}
+	if h.Ejected > at {
+		e.OutMs = min(time.Minute, (h.Ejected-at).Round(5*time.Second)+5*time.Second).Milliseconds()
+	}
+	if h.Most > 0 {
+		e.Most = math.Exp2(math.Round(math.Log2(h.Most)))
+	}
+	return e
+}
+
+func (s *Sharer) key(object uint64) string { return s.zone + "/" + strconv.FormatUint(object, 16) }
+
+// Gather is what neighbours know, as a director takes it in: at is its clock. Ages are kept. The list says by which start the director
+// knows a store; without it that is taken as it was told.
+func (s *Sharer) Gather(now, at time.Duration, list map[string]control.Member) control.Memory {
+	boot := func(server string, ms int64) time.Duration {
+		if e, ok := list[server]; ok && bootMs(e.Boot) == ms {
+			return e.Boot
+		}
+		return time.Duration(ms) * time.Millisecond
+	}
+	when := func(t time.Duration) time.Duration { return at - max(0, now-t) }
+	m := control.Memory{At: at, Zone: s.zone}
+	for _, f := range s.node.Listings(now, 0) {
+		zone, object, ok := strings.Cut(f.Key, "/")
+		key, err := strconv.ParseUint(object, 16, 64)
+		if !ok || err != nil || zone != s.zone || f.What.GapMs < 0 || f.What.WorkMs < 0 {
+			continue
+		}
+		m.Listings = append(m.Listings, control.Listing{Key: key, Server: f.What.Server, Boot: boot(f.What.Server, f.What.BootMs), HitAt: when(f.At), Last: when(f.At),
+			Gap: time.Duration(f.What.GapMs) * time.Millisecond, Count: f.What.Count, Work: time.Duration(f.What.WorkMs) * time.Millisecond})
+	}
+	for _, c := range s.node.Complaints(now, s.node.Living(now)) {
+		h := control.Health{Server: c.Server, Boot: boot(c.Server, c.What.BootMs), Seen: when(c.At), Failing: c.What.Failing, Late: c.What.Late, Most: c.What.Most}
+		if c.What.OutMs > 0 {
+			h.Ejected = h.Seen + time.Duration(c.What.OutMs)*time.Millisecond
+		}
+		m.Servers = append(m.Servers, h)
+	}
+	for name, t := range s.node.Purges(now) {
+		m.Purges = append(m.Purges, control.Purged{Name: name, At: when(t)})
+	}
+	slices.SortFunc(m.Purges, func(a, b control.Purged) int { return cmp.Compare(a.Name, b.Name) })
+	return m
+}
+
+// Holds are the stores to be taken for drained on others' word: those that the own list still has in use with the start that
+// somebody else was told drains, for a while. One that lies can hold a few stores only.
+func (s *Sharer) Holds(now time.Duration, list map[string]control.Member) map[string]bool {
+	held, all, some := map[string]bool{}, map[string]int{}, map[string]int{}
+	for _, e := range list {
+		all[e.Kind+" "+e.Zone]++
+	}
+	drains := s.node.Drains(now, heldWithin)
+	ids := make([]string, 0, len(drains))
+	for id := range drains {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		e, ok := list[id]
+		group := e.Kind + " " + e.Zone
+		if !ok || e.Phase != control.Up || bootMs(e.Boot) != drains[id] || some[group] >= max(1, all[group]/heldShare) {
+			continue
+		}
+		some[group]++
+		held[id] = true
+	}
+	s.Held = len(held)
+	return held
+}
+
+// ParseForget reads what operators want forgotten.
+func ParseForget(kind, key, why string) (string, []byte, error) {
+	k, ok := replica.KindOf(kind)
+	switch {
+	case !ok || k == replica.Forget:
+		return "", nil, fmt.Errorf("kind: %q is none that can be forgotten", kind)
+	case k < replica.FirstBulk:
+		return "", nil, fmt.Errorf("kind: %q is a matter of safety, and goes by itself once it has settled", kind)
+	case key == "" || len(key) > 100:
+		return "", nil, fmt.Errorf("key: %d characters, 1 to 100 are allowed", len(key))
+	case len(why) > 200:
+		return "", nil, fmt.Errorf("why: %d characters, 200 are allowed", len(why))
+	}
+	return replica.TombKey(k, key), replica.Encode(why), nil
+}
--- /dev/null
+++ b/knowledge/shared_test.go
@@ -0,0 +1,170 @@
+package knowledge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"larchusher/control"
+	"larchusher/replica"
+)
+
+// pair is two gateways' sharers that hear each other at once when sync is called.
+type pair struct {
+	t     *testing.T
+	now   time.Duration
+	nodes map[string]*replica.Node
+	s     map[string]*Sharer
+}
+
+func newPair(t *testing.T, names ...string) *pair {
+	p := &pair{t: t, now: time.Minute, nodes: map[string]*replica.Node{}, s: map[string]*Sharer{}}
+	for i, n := range names {
+		node, err := replica.NewNode(replica.Config{Self: replica.Life{Name: n, Number: uint64(i + 1)}, Members: names, Settles: 6 * time.Second,
+			Wall: func() time.Duration { return p.now }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.nodes[n], p.s[n] = node, NewSharer(node, "z", 100)
+	}
+	return p
+}
+
+func (p *pair) sync() {
+	for range 40 {
+		p.now += 100 * time.Millisecond
+		for from, n := range p.nodes {
+			p.handle(from, n, replica.Tick{})
+		}
+	}
+}
+
+func (p *pair) handle(name string, n *replica.Node, e replica.Event) {
+	for _, a := range n.Handle(p.now, e, nil) {
+		if s, ok := a.(replica.Send); ok {
+			p.handle(s.To, p.nodes[s.To], replica.Heard{From: name, Message: s.Message})
+		}
+	}
+}
+
+func list(phase control.Phase, boot time.Duration) map[string]control.Member {
+	l := map[string]control.Member{}
+	for i := range 8 {
+		id := fmt.Sprint("b", i)
+		l[id] = control.Member{ID: id, Kind: "box", Zone: "z", Boot: boot, Phase: control.Up}
+	}
+	e := l["b0"]
+	e.Phase = phase
+	l["b0"] = e
+	return l
+}
+
+const director = 1000 * time.Hour // its clock is another one
+
+// What one has learned is what the other takes in, with its ages, by clocks that have nothing in common.
+func TestWhatIsToldIsTakenInWithItsAge(t *testing.T) {
+	p := newPair(t, "a", "b")
+	boot := 500*time.Hour + 300*time.Nanosecond
+	p.s["a"].Tell(p.now, control.Memory{At: director, Listings: []control.Listing{{Key: 77, Server: "b1", Boot: boot, Last: director - 10*time.Second, Count: 4, Gap: time.Second}},
+		Purges: []control.Purged{{Name: " 3", At: director - time.Second}}, Servers: []control.Health{{Server: "b2", Boot: boot, Seen: director - 2*time.Second, Failing: 0.8}}}, list(control.Up, boot))
+	p.sync()
+	other := list(control.Up, boot-200*time.Nanosecond) // another gateway's clock
+	m := p.s["b"].Gather(p.now, 2*director, other)
+	if len(m.Listings) != 1 || m.Listings[0].Key != 77 || m.Listings[0].Boot != other["b1"].Boot || m.Listings[0].Count != 4 {
+		t.Fatalf("%+v", m.Listings)
+	}
+	near := func(what string, age, want time.Duration) {
+		if d := age - want - 4*time.Second; d < -10*time.Millisecond || d > 300*time.Millisecond { // four seconds have passed
+			t.Errorf("%s is %v old", what, age)
+		}
+	}
+	near("the listing", 2*director-m.Listings[0].Last, 10*time.Second)
+	if len(m.Purges) != 1 || m.Purges[0].Name != " 3" {
+		t.Fatalf("%+v", m.Purges)
+	}
+	near("the purge", 2*director-m.Purges[0].At, time.Second)
+	if len(m.Servers) != 0 {
+		t.Errorf("one gateway's word makes a store ill for another: %+v", m.Servers)
+	}
+}
+
+// A store is well again: what was said of it is over at all others.
+func TestRecoveryIsTold(t *testing.T) {
+	p := newPair(t, "a", "b", "c")
+	ill := control.Memory{At: director, Servers: []control.Health{{Server: "b2", Seen: director, Failing: 0.8, Ejected: director + 3*time.Second}}}
+	for _, n := range []string{"a", "b"} {
+		p.s[n].Tell(p.now, ill, nil)
+	}
+	p.sync()
+	if m := p.s["c"].Gather(p.now, director, nil); len(m.Servers) != 1 || m.Servers[0].Failing != 0.8 || m.Servers[0].Ejected == 0 {
+		t.Fatalf("%+v", m.Servers)
+	}
+	for _, n := range []string{"a", "b"} {
+		p.s[n].Tell(p.now, control.Memory{At: director, Servers: []control.Health{{Server: "b2", Seen: director}}}, nil)
+	}
+	p.sync()
+	if m := p.s["c"].Gather(p.now, director, nil); len(m.Servers) != 0 {
+		t.Errorf("it is still ill: %+v", m.Servers)
+	}
+}
+
+// What hardly changes is not said again, and a purge that a neighbour has told of is not said by everybody.
+func TestLittleIsSaidTwice(t *testing.T) {
+	p := newPair(t, "a", "b")
+	m := control.Memory{At: director, Servers: []control.Health{{Server: "b2", Seen: director, Failing: 0.8}}, Purges: []control.Purged{{Name: "o", At: director}}}
+	p.s["a"].Tell(p.now, m, nil)
+	p.sync()
+	m.At += 4 * time.Second
+	told := p.s["a"].Told
+	for range 20 {
+		m.At += 100 * time.Millisecond
+		p.now += 100 * time.Millisecond
+		m.Servers[0].Seen, m.Servers[0].Failing = m.At, m.Servers[0].Failing-0.001
+		p.s["a"].Tell(p.now, m, nil)
+	}
+	if got := p.s["a"].Told; got != told {
+		t.Errorf("%d things were said, and %d again", told, got-told)
+	}
+	p.s["b"].Tell(p.now, control.Memory{At: m.At, Purges: []control.Purged{{Name: "o", At: m.At - p.now + p.nodes["b"].Purges(p.now)["o"]}}}, nil)
+	if p.s["b"].Told != 0 {
+		t.Error("both say the same purge")
+	}
+}
+
+// A drain that the own list has not told of yet is heeded, for the start that is meant, for a while, and for a few stores only.
+func TestADrainIsHeededOnOthersWord(t *testing.T) {
+	p := newPair(t, "a", "b")
+	p.s["a"].Tell(p.now, control.Memory{At: director}, list(control.Up, time.Hour))
+	p.s["a"].Tell(p.now, control.Memory{At: director}, list(control.Draining, time.Hour))
+	p.sync()
+	if held := p.s["b"].Holds(p.now, list(control.Up, time.Hour)); len(held) != 1 || !held["b0"] {
+		t.Fatalf("%v", held)
+	}
+	if held := p.s["b"].Holds(p.now, list(control.Up, 2*time.Hour)); len(held) != 0 {
+		t.Errorf("another start is held: %v", held)
+	}
+	if held := p.s["b"].Holds(p.now+heldWithin+time.Second, list(control.Up, time.Hour)); len(held) != 0 {
+		t.Errorf("it is held for ever: %v", held)
+	}
+	if held := p.s["a"].Holds(p.now, list(control.Up, time.Hour)); len(held) != 0 {
+		t.Errorf("the own word is held against the own list: %v", held)
+	}
+	gone := list(control.Up, time.Hour)
+	clear(gone)
+	p.s["a"].Tell(p.now, control.Memory{At: director}, gone) // all of them, or it lies
+	p.sync()
+	if held := p.s["b"].Holds(p.now, list(control.Up, time.Hour)); len(held) != 2 {
+		t.Errorf("%d of 8 are held", len(held))
+	}
+}
+
+func TestWhatCanBeForgotten(t *testing.T) {
+	if key, why, err := ParseForget("health", "b1", "a bad cable"); err != nil || key != replica.TombKey(replica.Health, "b1") || string(why) != `"a bad cable"` {
+		t.Errorf("%q %s %v", key, why, err)
+	}
+	for _, bad := range [][2]string{{"purge", "o"}, {"drain", "b1"}, {"forget", "x"}, {"nonsense", "x"}, {"health", ""}, {"listing", string(make([]byte, 101))}} {
+		if _, _, err := ParseForget(bad[0], bad[1], ""); err == nil {
+			t.Errorf("%q of %.10q can be forgotten", bad[0], bad[1])
+		}
+	}
+}
--- a/lab/procs/clients.go
+++ b/lab/procs/clients.go
@@ -75,7 +75,7 @@
 			c.sweep()
 			c.mu.Unlock()
 			err := e.Request(&rpc.Request{ID: id, Class: c.class, Txn: fmt.Sprintf("%016x", first<<32+n), Limit: clientWaits,
-				Object: fmt.Sprintf("%016x", first<<16+n%40), Group: n % 7})
+				Object: fmt.Sprintf("%016x", first<<16+n%objects), Group: n % objects % groups})
 			if err != nil {
 				break
 			}
--- a/lab/procs/plot.go
+++ b/lab/procs/plot.go
@@ -47,6 +47,10 @@
 	"clock":  2,  // gateway, milliseconds that its wall clock is off
 	"crash":  1,  // box: it dies, and is told to be gone
 	"revive": 1,  // box: it is back, cold
+	"share":  0,  // at 0: what gateways know is kept in common
+	"apart":  0,  // at 0: it is not, and the plot is held against the same rules
+	"purge":  3,  // group, gateway that is told at once, how much later the others' journals tell
+	"drain":  3,  // store, likewise
 	"forge":  1,  // gateway that is sent forged and malformed bytes
 }
 
@@ -125,10 +129,12 @@
 func gateway(i int) string   { return "g" + strconv.Itoa(i) }
 func box(zone, i int) string { return fmt.Sprintf("b%d-%d", zone, i) }
 
+func newRand(seed, stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
+
 // Draw draws a plot. Whatever it does wrong it puts right before the end, so that every plan can end; and it never takes the
 // votes of a majority away.
 func Draw(seed uint64) *Plot {
-	rng := rand.New(rand.NewPCG(seed, 21))
+	rng := newRand(seed, 21)
 	p := &Plot{Seed: seed, Gateways: 3 + rng.IntN(5), Boxes: 4 + rng.IntN(6), For: 14 * time.Second}
 	at := func(from, to int) time.Duration { return time.Duration(from+rng.IntN(to-from)) * time.Millisecond }
 	add := func(t time.Duration, what string, args ...string) {
--- a/lab/procs/procs.go
+++ b/lab/procs/procs.go
@@ -38,14 +38,16 @@
 
 // Verdict is what came of a plot.
 type Verdict struct {
-	Plot   *Plot
-	Faults []string // broken rules; empty: none
-	Asked  int      // for work
-	Done   int
-	Ended  time.Duration // when the last request ended
-	Client struct{ Asked, Served, Refused, Failed, Twice, Lost, Excused int }
-	Took   map[string]time.Duration // by machine: from asking to granted, as seen from outside
-	Held   float64                  // attempts that were withheld right before they were written
+	Plot                 *Plot
+	Faults               []string // broken rules; empty: none
+	Asked                int      // for work
+	Done                 int
+	Ended                time.Duration // when the last request ended
+	Client               struct{ Asked, Served, Refused, Failed, Twice, Lost, Excused int }
+	Took                 map[string]time.Duration // by machine: from asking to granted, as seen from outside
+	Stale, Drained, Told int                      // asks that would take what others knew to be purged, or went where others knew of a drain; purges told
+	Equal                time.Duration            // after the last fault, until all knew the same
+	Held                 float64                  // attempts that were withheld right before they were written
 }
 
 // machine is a stand-in with what it recorded.
@@ -90,14 +92,16 @@
 
 	takes atomic.Int64 // nanoseconds that a store takes over an answer
 
-	mu    sync.Mutex
-	asked map[string]time.Time
-	seen  map[string]work.Stage
-	took  map[string]time.Duration
-	texts map[uint64]string // by revision, the state as somebody told it
-	state *work.State
-	rev   uint64
-	wg    sync.WaitGroup
+	mu     sync.Mutex
+	asked  map[string]time.Time
+	acked  map[string]string // by machine: who took the request, and when
+	seen   map[string]work.Stage
+	took   map[string]time.Duration
+	ledger ledger
+	texts  map[uint64]string // by revision, the state as somebody told it
+	state  *work.State
+	rev    uint64
+	wg     sync.WaitGroup
 }
 
 type process struct {
@@ -111,6 +115,7 @@
 	clients *clients
 	news    chan piece
 	mu      sync.Mutex
+	pos     int  // of the latest thing that its journal service told
 	up      bool // it runs, and is not stopped
 }
 
@@ -149,6 +154,7 @@
 	out, cold := m.out, time.Since(m.cold) < ramp
 	m.busy++
 	m.mu.Unlock()
+	p.heed(m, a)
 	from := a.Fields["name"]
 	if out {
 		p.faults.add("%v: %s is out for work, and is asked for %s", time.Since(p.began).Round(time.Millisecond), m.name, from)
@@ -178,26 +184,34 @@
 	host := m.host(status)
 	m.mu.Unlock()
 	for _, g := range p.gateways {
-		g.news <- piece{time.Now().Add(time.Duration(p.draw(listLate)) * time.Millisecond), host}
+		g.news <- piece{at: time.Now().Add(time.Duration(p.draw(listLate)) * time.Millisecond), host: host}
 	}
 }
 
-// piece is what a journal service is to tell at a time.
+// piece is what a journal service is to tell of the list at a time.
 type piece struct {
 	at   time.Time
 	host string
 }
 
-// journal tells a gateway's journal service what there is, in order.
+// journal tells a gateway's journal service what there is of the list, in order.
 func (g *process) journal() {
-	pos := 1
 	for n := range g.news {
 		time.Sleep(time.Until(n.at))
-		pos++
-		g.world.Journal.Tell(pos, fmt.Sprintf(`"hosts":{"index":%d,"snapshot":false,"endpoints":[%s]}`, pos, n.host))
+		g.tell(func(pos int) string {
+			return fmt.Sprintf(`"hosts":{"index":%d,"snapshot":false,"endpoints":[%s]}`, pos, n.host)
+		})
 	}
 }
 
+// tell has the journal service tell something now.
+func (g *process) tell(text func(pos int) string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pos = max(2, g.pos+1)
+	g.world.Journal.Tell(g.pos, text(g.pos))
+}
+
 func (p *play) draw(n int) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -225,6 +239,12 @@
 			return nil, fmt.Errorf("procs: at %v %s: %w", e.At, e.What, err)
 		}
 	}
+	var missing string
+	if p.ledger.shared {
+		if p.ledger.equal, missing = p.alike(ctx); missing != "" {
+			p.faults.add("%v after the last fault gateways do not know the same: %s", p.ledger.equal.Round(time.Millisecond), missing)
+		}
+	}
 	ended := <-watched
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
@@ -240,8 +260,9 @@
 		return nil, fmt.Errorf("procs: %w", err)
 	}
 	p := &play{plot: plot, dir: dir, program: program, faults: &faults{}, machines: map[string]*machine{}, relays: map[string]*relay{},
-		rng: rand.New(rand.NewPCG(plot.Seed, 99)), asked: map[string]time.Time{}, seen: map[string]work.Stage{}, took: map[string]time.Duration{}, texts: map[uint64]string{}}
+		rng: rand.New(rand.NewPCG(plot.Seed, 99)), asked: map[string]time.Time{}, acked: map[string]string{}, seen: map[string]work.Stage{}, took: map[string]time.Duration{}, texts: map[uint64]string{}}
 	p.takes.Store(int64(2 * time.Millisecond))
+	p.ledger.shared = slices.ContainsFunc(plot.Events, func(e Event) bool { return e.What == "share" })
 	if err := p.build(ctx); err != nil {
 		p.close()
 		return nil, err
@@ -262,8 +283,10 @@
 }
 
 func (p *play) build(ctx context.Context) error {
+	// At an address of the plot's own: at 127.0.0.1 the system gives the port of a store that is down to a connection that goes out.
+	host := fmt.Sprintf("127.%d.%d.200:0", 64+os.Getpid()%100, p.plot.Seed%250)
 	add := func(name, kind, zone string) error {
-		s, err := standin.NewStore(name, kind, standin.Loopback)
+		s, err := standin.NewStore(name, kind, host)
 		if err != nil {
 			return err
 		}
@@ -331,6 +354,9 @@
 		}
 		fmt.Fprintf(&b, "  member { name: %q address: %q }\n", m.name, addr)
 	}
+	if p.ledger.shared {
+		b.WriteString("  replicate {}\n")
+	}
 	fmt.Fprintf(&b, "  work { lease: %q at_once: %d }\n}\n", lease, atOnce)
 	return b.String()
 }
@@ -366,6 +392,7 @@
 		g := find(e.Args[0])
 		g.clients.excuse(true)
 		g.set(false)
+		p.forgotten(g, time.Now().Add(time.Hour))
 		if err := g.world.Kill(); err != nil {
 			return err
 		}
@@ -381,6 +408,7 @@
 			if _, err := g.world.Logged(ctx, "msg=serving"); err != nil {
 				p.faults.add("%s does not start again: %v", g.name, err)
 			}
+			p.forgotten(g, time.Now().Add(500*time.Millisecond))
 			g.clients.excuse(false)
 			g.set(true)
 		})
@@ -416,6 +444,7 @@
 		if err := g.world.Signal(syscall.SIGCONT); err != nil {
 			return err
 		}
+		p.forgotten(g, time.Now().Add(time.Second)) // what came meanwhile it hears now
 		p.wg.Go(func() {
 			time.Sleep(300 * time.Millisecond)
 			g.clients.excuse(false)
@@ -457,6 +486,10 @@
 		p.tell(m, "DELETED")
 	case "revive":
 		return p.revive(p.machines[e.Args[0]])
+	case "purge":
+		return p.purge(e.Args)
+	case "drain":
+		return p.drain(e.Args)
 	case "forge":
 		forge(find(e.Args[0]).link)
 	}
@@ -520,6 +553,9 @@
 			if err == nil && reply.Refused == "" {
 				var r work.Reply
 				if json.Unmarshal(reply.Value, &r) == nil && r.Refused == "" {
+					p.mu.Lock()
+					defer p.mu.Unlock()
+					p.acked[name] = fmt.Sprintf("%s took it as work %d at revision %d, at try %d after %v", g.name, r.ID, reply.Revision, try, time.Since(p.began).Round(time.Millisecond))
 					return
 				}
 				// A gateway that has just started, or whose list is late, may not know the machine.
@@ -555,7 +591,7 @@
 			p.look(g, m)
 		}
 		p.mu.Lock()
-		done := p.state != nil && len(p.asked) > 0
+		done := p.state != nil && (len(p.asked) > 0 || len(p.ledger.purges) > 0)
 		for name := range p.asked {
 			done = done && p.seen[name].Ended()
 		}
@@ -565,6 +601,11 @@
 		} else if now.After(end.Add(endWithin)) {
 			p.mu.Lock()
 			p.faults.add("the plan does not end: %s", p.texts[p.rev])
+			for name, how := range p.acked {
+				if p.seen[name] == "" {
+					p.faults.add("the request for %s is in no state, though %s", name, how)
+				}
+			}
 			p.mu.Unlock()
 			return now.Sub(p.began)
 		}
@@ -640,7 +681,7 @@
 
 // verdict sums up.
 func (p *play) verdict(ctx context.Context, ended time.Duration) *Verdict {
-	v := &Verdict{Plot: p.plot, Ended: ended, Took: p.took, Asked: len(p.asked)}
+	v := &Verdict{Plot: p.plot, Ended: ended, Took: p.took, Asked: len(p.asked), Stale: p.ledger.stale, Drained: p.ledger.drained, Equal: p.ledger.equal, Told: len(p.ledger.purges)}
 	for _, s := range p.seen {
 		if s == work.Done {
 			v.Done++
--- a/lab/zones/directed.go
+++ b/lab/zones/directed.go
@@ -15,6 +15,7 @@
 	"larchusher/lab/load"
 	"larchusher/lab/sim"
 	"larchusher/overload"
+	"larchusher/replica"
 	"larchusher/tiers"
 )
 
@@ -109,6 +110,8 @@
 	twice   int
 	down    bool
 	epoch   int // its start
+	node    *replica.Node
+	sharer  *knowledge.Sharer
 	snap    []control.Memory
 	made    time.Duration
 	places  []tiers.Locality
@@ -132,6 +135,7 @@
 	gaps     []time.Duration
 	res      *Result
 	serial   int
+	lives    uint64 // of copies of what gateways know in common
 }
 
 func (d *directed) second() *Second { return &d.res.Seconds[int(d.clock.Now/time.Second)] }
@@ -290,6 +294,9 @@
 		return err
 	}
 	d.gateways = append(d.gateways, g)
+	if d.sc.Neighbours {
+		d.share(g)
+	}
 	if d.sc.Memory {
 		var keep func()
 		keep = func() {
@@ -333,9 +340,82 @@
 	for i, m := range g.snap {
 		g.ds[i].Import(d.clock.Now, m, knowledge.Worth)
 	}
+	if d.sc.Neighbours {
+		return d.beginSharing(g)
+	}
+	return nil
+}
+
+// beginSharing begins a gateway's copy of what all know, empty: it catches up with the others.
+func (d *directed) beginSharing(g *dgateway) (err error) {
+	var members []string
+	for _, z := range d.sc.Zones {
+		for range z.Gateways {
+			members = append(members, strconv.Itoa(len(members)))
+		}
+	}
+	d.lives++
+	g.node, err = replica.NewNode(replica.Config{Self: replica.Life{Name: strconv.Itoa(g.me), Number: d.lives}, Members: members, Settles: g.set.PurgeSettles,
+		Wall: func() time.Duration { return d.clock.Now }, Seed: d.lives})
+	if err != nil {
+		return fmt.Errorf("scene: %w", err)
+	}
+	g.sharer = knowledge.NewSharer(g.node, d.sc.Zones[g.home].Name, 512)
 	return nil
 }
 
+// share has a gateway tell others what it learns, and catch up as it comes back.
+func (d *directed) share(g *dgateway) {
+	ticks := 0
+	var tick func()
+	tick = func() {
+		if ticks++; !g.down {
+			if ticks%5 == 0 {
+				m := g.ds[0].Export(d.clock.Now, 512)
+				list := map[string]control.Member{}
+				for _, e := range d.listing() {
+					list[e.ID] = e
+				}
+				g.sharer.Tell(d.clock.Now, m, list)
+			}
+			d.shared(g, replica.Tick{})
+		}
+		d.clock.At(d.clock.Now+100*time.Millisecond, tick)
+	}
+	d.clock.At(time.Duration(d.rng.Float64()*float64(100*time.Millisecond)), tick)
+}
+
+func (d *directed) shared(g *dgateway, e replica.Event) {
+	for _, a := range g.node.Handle(d.clock.Now, e, nil) {
+		switch a := a.(type) {
+		case replica.Send:
+			to, _ := strconv.Atoi(a.To)
+			if to < len(d.gateways) {
+				d.clock.At(d.clock.Now+2*time.Millisecond, func() {
+					if x := d.gateways[to]; !x.down && x.node != nil {
+						d.shared(x, replica.Heard{From: strconv.Itoa(g.me), Message: a.Message})
+					}
+				})
+			}
+		case replica.CaughtUp:
+			m := g.sharer.Gather(d.clock.Now, d.clock.Now, nil)
+			for i := range g.ds {
+				if g.names(i) == m.Zone {
+					g.ds[i].Import(d.clock.Now, m, knowledge.Worth)
+				}
+			}
+		}
+	}
+}
+
+// names is the zone of a gateway's director.
+func (g *dgateway) names(i int) string {
+	if len(g.places) > i {
+		return g.places[i].Name
+	}
+	return g.set.Zone
+}
+
 // restart has a zone's gateways die, or come back.
 func (d *directed) restart(zone int, dies bool) {
 	for _, g := range d.gateways {
--- a/lab/zones/scene.go
+++ b/lab/zones/scene.go
@@ -136,7 +136,7 @@
 	case "seed":
 		s.Seed = uint64(v)
 	case "memory":
-		s.Memory, s.Oracle = v == 1, v == 2
+		s.Memory, s.Oracle, s.Neighbours = v == 1 || v == 4, v == 2, v >= 3
 	case "parent":
 		s.Parent = v
 	case "origin":
--- a/lab/zones/zones.go
+++ b/lab/zones/zones.go
@@ -62,22 +62,23 @@
 
 // Scene is what is played.
 type Scene struct {
-	Zones   []Zone
-	BoxRate float64 // requests a second of a warm box
-	Objects int     // that are asked for
-	Skew    float64 // of how often: Zipf's exponent, over 1
-	Origin  float64 // fills a second that the origin can do, over what is usual; it refuses beyond
-	Parent  float64 // likewise of a hub's upper caches
-	List    time.Duration
-	Faults  []Fault
-	For     time.Duration
-	Warm    time.Duration // before that nothing is counted, and zones fill
-	Policy  Policy
-	Memory  bool         // gateways keep what they learn through a restart; with directors only
-	Oracle  bool         // they forget nothing at all through one, as no real gateway can
-	Repeat  float64      // share of refused clients that come back when told to, twice at most; with directors only
-	Tiers   tiers.Config // further settings; Localities, Bands and Seed are set here
-	Seed    uint64
+	Zones      []Zone
+	BoxRate    float64 // requests a second of a warm box
+	Objects    int     // that are asked for
+	Skew       float64 // of how often: Zipf's exponent, over 1
+	Origin     float64 // fills a second that the origin can do, over what is usual; it refuses beyond
+	Parent     float64 // likewise of a hub's upper caches
+	List       time.Duration
+	Faults     []Fault
+	For        time.Duration
+	Warm       time.Duration // before that nothing is counted, and zones fill
+	Policy     Policy
+	Neighbours bool         // gateways tell each other what they learn, and catch up as they return; with directors only
+	Memory     bool         // gateways keep what they learn through a restart; with directors only
+	Oracle     bool         // they forget nothing at all through one, as no real gateway can
+	Repeat     float64      // share of refused clients that come back when told to, twice at most; with directors only
+	Tiers      tiers.Config // further settings; Localities, Bands and Seed are set here
+	Seed       uint64
 }
 
 // Figures of a box and of the network, as the deployment's settings give them.
--- a/replica/node.go
+++ b/replica/node.go
@@ -25,6 +25,7 @@
 	hintTo    = 3                       // others that are told at once of what is a matter of safety
 	hintAfter = 10 * time.Millisecond   // what comes within it is told together
 	reserved  = 4                       // one in so many bytes a second is for safety
+	ownMost   = 4096                    // bytes of the own bulk that may be saved up, at the least
 	overhead  = 64                      // bytes of a message, about, beside its slots
 	repairs   = 64                      // differences that are remembered
 	checks    = 10                      // of so many questions one compares copies whole
@@ -171,7 +172,7 @@
 		c.Size = func(s *Slot) int { return 48 + len(s.Key) + len(s.Value) + len(s.Writer.Name) }
 	}
 	return &Node{Copy: NewCopy(c.Self, c.Settles), cfg: c, rng: rand.New(rand.NewPCG(c.Seed, 0x2545f491)), began: -1, blanks: map[string]bool{}, most: mostFirst,
-		living: map[string]time.Duration{}, doubts: map[string]int{}, bucket: float64(c.Bytes)}, nil
+		living: map[string]time.Duration{}, doubts: map[string]int{}, bucket: float64(c.Bytes), own: ownMost}, nil
 }
 
 // Handle takes one event at the given time and appends the actions to out. Time must not run backwards.
@@ -204,7 +205,7 @@
 	rate := float64(n.cfg.Bytes)
 	n.bucket = min(rate, n.bucket+took*rate)
 	mine := rate / 4 / float64(len(n.cfg.Members))
-	n.own = min(max(4*mine, 4096), n.own+took*mine)
+	n.own = min(max(4*mine, ownMost), n.own+took*mine)
 }
 
 // Say has the own life say something of a key, as Write does; what is a matter of safety is told others soon.
@@ -228,6 +229,9 @@
 	return true
 }
 
+// Full says that the own bulk has used up what it may cost the others for now.
+func (n *Node) Full() bool { return n.own < 256 }
+
 func (n *Node) soon(now time.Duration) {
 	if n.hint == 0 {
 		n.hint = now + hintAfter
--- a/replica/reading.go
+++ b/replica/reading.go
@@ -225,3 +225,22 @@
 	}
 	return rows, len(slots)
 }
+
+// Said says whether the own life has said something of a key that still counts.
+func (c *Copy) Said(k Kind, key string) bool { return c.slots[id{k, key, c.self}] != nil }
+
+// Listed is where a key was found last, and when; false: nobody says.
+func (c *Copy) Listed(now time.Duration, key string) (server string, at time.Duration, ok bool) {
+	l := c.byKey[Listing][key]
+	if len(l) == 0 {
+		return "", 0, false
+	}
+	best := l[0]
+	for _, s := range l[1:] {
+		if newer(s, best) {
+			best = s
+		}
+	}
+	p, ok := decode[Place](best)
+	return p.Server, best.Early, ok
+}
