--- a/cmd/larchusher-lab/procs.go
+++ b/cmd/larchusher-lab/procs.go
@@ -23,9 +23,10 @@
 	Named   []string `help:"Play these of the written plots; all: each of them."`
 	Mutants string   `help:"Instead: take one rule after another out of the program of the repository at this place, and see that a plot finds it." placeholder:"DIR"`
 	Rest    []int    `help:"Instead: what fleets of so many gateways send each other at rest, in simulated time."`
+	Spread  []int    `help:"Instead: how fleets of so many gateways come to know the same, in simulated time, by several ways."`
 	Grants  []int    `help:"Instead: how long a grant takes with so many gateways, without and with the first voter killed."`
 	Plan    int      `help:"Instead: a plan of forty machines against fixed timetables in simulated time, over so many seeds." placeholder:"SEEDS"`
-	Draw    string   `help:"With --plan: write what came of it as a picture." placeholder:"FILE"`
+	Draw    string   `help:"With --plan or --spread: write what came of it as a picture." placeholder:"FILE"`
 	Times   int      `help:"Grants measured of each." default:"60"`
 	Show    bool     `help:"Print the plots, and play none."`
 	Shared  string   `help:"Draw plots in which purges and drains are told late: on, with what gateways know kept in common; off: without." enum:"on,off," default:""`
@@ -46,7 +47,7 @@
 	if c.Plan > 0 {
 		return c.plan()
 	}
-	if len(c.Rest)+len(c.Grants) > 0 {
+	if len(c.Rest)+len(c.Grants)+len(c.Spread) > 0 {
 		return c.measure()
 	}
 	if c.Mutants != "" {
@@ -225,6 +226,32 @@
 		fmt.Printf("%d gateways: one that does not vote %.1f messages and %.0f bytes a second, the busiest voter %.0f and %.0f; %.1f writes a second of all; all ready after %v, granted after %v, out after %v\n", n,
 			r.Messages, r.Bytes, r.VoterMessages, r.VoterBytes, r.Writes, r.Formed, r.Granted, r.Drained)
 	}
+	lines := map[string]plot.Line{}
+	for _, n := range c.Spread {
+		for _, way := range []string{procs.WayOurs, procs.WayPull, procs.WayFull, procs.WayPush} {
+			if way == procs.WayFull && n > 100 {
+				continue // it is what grows with the square of the fleet
+			}
+			r, err := procs.Spread(way, n, c.Seed)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("%d gateways, %s: a purge at nine in ten after %v, at all after %v; after a heal all after %v, with %.0f bytes of each; %.0f bytes a second at rest\n", n, way, r.Purge, r.All, r.Heal, r.Moved, r.Rest)
+			if l := lines[way]; r.Heal > 0 {
+				l.Name, l.XY = way, append(l.XY, [2]float64{float64(n), r.Heal.Seconds()})
+				lines[way] = l
+			}
+		}
+	}
+	if c.Draw != "" && len(lines) > 0 {
+		var all []plot.Line
+		for _, way := range slices.Sorted(maps.Keys(lines)) {
+			all = append(all, lines[way])
+		}
+		if err := plot.Draw(c.Draw, "A heal of two halves", "gateways", "seconds until all know the same", all); err != nil {
+			return err
+		}
+	}
 	for _, n := range c.Grants {
 		for _, kill := range []bool{false, true} {
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -10,6 +10,9 @@
 )
 
 func env(name string) string {
+	if name == "KEY_LONG" {
+		return strings.Repeat("0011223344556677", 4)
+	}
 	if strings.HasPrefix(name, "KEY") || strings.HasSuffix(name, "_KEY_2026_12") {
 		return "00112233445566778899aabbccddeeff"
 	}
@@ -18,6 +21,8 @@
 
 const front = "signed_front {\n  listen: \"127.0.0.1:1\"\n  base: \"https://a.example\"\n"
 
+const group = "fleet {\n  name: \"a\"\n  listen: \"127.0.0.1:1\"\n  member { name: \"a\" address: \"127.0.0.1:1\" }\n  key_env: \"KEY_LONG\"\n"
+
 // A fault is told with its key and its line.
 func TestFaultsOfTheOperatorsFile(t *testing.T) {
 	for text, want := range map[string][]string{
@@ -41,6 +46,9 @@
 		"tiers {\n  locality { name: \"b\" level: 1 }\n  back: \"1m\"\n}":                                   {"tiers.back_most", "1m0s"},
 		"tiers {\n  locality { name: \"b\" level: 1 }\n  over: 0.5\n}":                                      {"line 3", "tiers.over", "0.5"},
 		"tiers {\n  locality { name: \"b\" level: 1 }\n  ramp: \"soon\"\n}":                                 {"line 3", "tiers.ramp"},
+		group + "  replicate { wait: \"an hour\" }\n}":                                                      {"line 6", "fleet.replicate.wait"},
+		group + "  replicate {\n    bytes: 100\n  }\n}":                                                     {"line 7", "fleet.replicate.bytes", "100"},
+		group + "  replicate {\n    listings: -1\n  }\n}":                                                   {"line 7", "fleet.replicate.listings", "-1"},
 		"overload: 7": {"line 1"},
 		"}":           {"line 1"},
 	} {
@@ -56,6 +64,17 @@
 	}
 }
 
+func TestReplicateIsOffUnlessAsked(t *testing.T) {
+	o, err := ParseOperator([]byte(group+"}"), env)
+	if err != nil || o.Fleet.Replicate != nil {
+		t.Fatalf("%+v, %v", o, err)
+	}
+	o, err = ParseOperator([]byte(group+"  replicate { bytes: 20000 }\n}"), env)
+	if err != nil || o.Fleet.Replicate == nil || *o.Fleet.Replicate != (Replicate{Wait: 3 * time.Second, Bytes: 20000, Listings: 512}) {
+		t.Errorf("%+v, %v", o.Fleet.Replicate, err)
+	}
+}
+
 func TestOperatorsFileAndDefaults(t *testing.T) {
 	o, err := ParseOperator(nil, env)
 	if err != nil || o.Signed != nil || o.AgentListen+o.HTTPListen+o.MetricsListen != "" {
--- a/internal/net/fleetlink/link_test.go
+++ b/internal/net/fleetlink/link_test.go
@@ -21,6 +21,7 @@
 	"larchusher/gateway"
 	"larchusher/internal/net/fleetlink/linkpb"
 	"larchusher/internal/net/transport"
+	"larchusher/replica"
 	"larchusher/work"
 )
 
@@ -43,9 +44,28 @@
 	if rapid.Bool().Draw(t, "report") {
 		m.Report = &fleet.Report{Strain: text.Draw(t, "strain"), Machines: map[string]work.Machine{"b1": {Kind: "box", Zone: "z", Up: true, BootMs: 17, Weight: 2.5, Busy: -1}}}
 	}
+	if rapid.Bool().Draw(t, "copy") {
+		life := replica.Life{Name: "w" + text.Draw(t, "writer"), Number: rapid.Uint64().Draw(t, "number")}
+		m.Copy = &replica.Message{Kind: replica.Answer, ID: m.ID, Most: 17, More: m.Blank, Have: []replica.Have{{Life: life, UpTo: [2]uint64{m.Life, 3}}},
+			Digests: map[replica.Kind]uint64{replica.Purge: m.Have},
+			Slots: []replica.Wire{{Slot: replica.Slot{Writer: life, Seq: 9, Kind: replica.Kind(rapid.Uint32().Draw(t, "slot")), Key: text.Draw(t, "key"), Value: []byte("v"), Stamp: m.Life},
+				Oldest: 70 * time.Microsecond, Youngest: 30 * time.Microsecond}}}
+	}
 	return m
 }
 
+// What a former version proposed without a Prepare had no majority's promise: it is not a message that a voter heeds.
+func TestAFormerVersionHasToPrepare(t *testing.T) {
+	pb := out(fleet.Message{Kind: fleet.Vote, Vote: agreement.Message{Kind: agreement.Accept, Ballot: agreement.Ballot{Number: 5, Voter: "a"}}})
+	if in(pb).Vote.Kind != agreement.Accept {
+		t.Fatal("an accept after a prepare is not read")
+	}
+	pb.Vote.Prior = ballotOut(agreement.Ballot{Number: 4, Voter: "a"})
+	if got := in(pb).Vote.Kind; got != 0 {
+		t.Errorf("it is read as %v", got)
+	}
+}
+
 // Messages are read as they were written, in whatever pieces they come; and of a stream that was changed in any byte nothing is
 // read from the frame on in which that is.
 func TestFramesAreReadAsWrittenOrNotAtAll(t *testing.T) {
