--- a/cmd/larchusher-lab/procs.go
+++ b/cmd/larchusher-lab/procs.go
@@ -28,6 +28,7 @@
 	Plan    int      `help:"Instead: a plan of forty machines against fixed timetables in simulated time, over so many seeds." placeholder:"SEEDS"`
 	Draw    string   `help:"With --plan or --spread: write what came of it as a picture." placeholder:"FILE"`
 	Times   int      `help:"Grants measured of each." default:"60"`
+	Former  string   `help:"Every second gateway is this program, of a former version." placeholder:"FILE"`
 	Show    bool     `help:"Print the plots, and play none."`
 	Shared  string   `help:"Draw plots in which purges and drains are told late: on, with what gateways know kept in common; off: without." enum:"on,off," default:""`
 	Seed    uint64   `help:"Of the first drawn plot." default:"1"`
@@ -142,6 +143,7 @@
 		})
 	}
 	for _, p := range plots {
+		p.Former = c.Former
 		next <- p
 	}
 	close(next)
--- a/lab/procs/plot.go
+++ b/lab/procs/plot.go
@@ -22,6 +22,8 @@
 	Boxes    int // in each of two zones
 	For      time.Duration
 	Events   []Event
+
+	Former string // a program of a former version, that every second gateway is; not in the text. Empty: all are the same
 }
 
 // Event is one line of a plot.
--- a/lab/procs/procs.go
+++ b/lab/procs/procs.go
@@ -354,19 +354,28 @@
 		}
 		fmt.Fprintf(&b, "  member { name: %q address: %q }\n", m.name, addr)
 	}
-	if p.ledger.shared {
+	if p.ledger.shared && !p.former(g) {
 		b.WriteString("  replicate {}\n")
 	}
 	fmt.Fprintf(&b, "  work { lease: %q at_once: %d }\n}\n", lease, atOnce)
 	return b.String()
 }
 
+// former says that a gateway is of the former version.
+func (p *play) former(g *process) bool {
+	return p.plot.Former != "" && slices.Index(p.gateways, g)%2 == 1
+}
+
 func (p *play) launch(ctx context.Context, i int, g *process, known json.RawMessage) (err error) {
 	path := filepath.Join(p.dir, g.name+".textproto")
 	if err := os.WriteFile(path, []byte(p.operator(g)), 0o600); err != nil {
 		return err
 	}
-	g.world, err = world.StartIn(ctx, world.Config{Program: p.program, Pin: -1, Seed: fmt.Sprintf("%016x", p.plot.Seed<<8+uint64(i)+1), Replay: true, Host: g.host,
+	program := p.program
+	if p.former(g) {
+		program = p.plot.Former
+	}
+	g.world, err = world.StartIn(ctx, world.Config{Program: program, Pin: -1, Seed: fmt.Sprintf("%016x", p.plot.Seed<<8+uint64(i)+1), Replay: true, Host: g.host,
 		Args: []string{"serve", "--operator", path},
 		Env:  []string{"FLEET_KEY=" + hex.EncodeToString(key), "LARCHUSHER_LAB_CLOCK=" + g.clock, "GOMAXPROCS=2"}}, settings(g.zone, len(p.gateways), i), known)
 	if err != nil {
