Copies are compared by stretches, swept piece by piece, and settled where a number is two things

A number that is two things is settled: the writer says it anew, else the greater sum holds; a test breaks a copy both ways.

--- a/cmd/larchusher-lab/procs.go
+++ b/cmd/larchusher-lab/procs.go
@@ -24,6 +24,7 @@
 	Mutants string   `help:"Instead: take one rule after another out of the program of the repository at this place, and see that a plot finds it." placeholder:"DIR"`
 	Rest    []int    `help:"Instead: what fleets of so many gateways send each other at rest, in simulated time."`
 	Spread  []int    `help:"Instead: how fleets of so many gateways come to know the same, in simulated time, by several ways."`
+	CatchUp []int    `help:"Instead: what it takes one that returns to know so many items, in simulated time."`
 	Grants  []int    `help:"Instead: how long a grant takes with so many gateways, without and with the first voter killed."`
 	Plan    int      `help:"Instead: a plan of forty machines against fixed timetables in simulated time, over so many seeds." placeholder:"SEEDS"`
 	Draw    string   `help:"With --plan or --spread: write what came of it as a picture." placeholder:"FILE"`
@@ -48,7 +49,7 @@
 	if c.Plan > 0 {
 		return c.plan()
 	}
-	if len(c.Rest)+len(c.Grants)+len(c.Spread) > 0 {
+	if len(c.Rest)+len(c.Grants)+len(c.Spread)+len(c.CatchUp) > 0 {
 		return c.measure()
 	}
 	if c.Mutants != "" {
@@ -228,6 +229,15 @@
 		fmt.Printf("%d gateways: one that does not vote %.1f messages and %.0f bytes a second, the busiest voter %.0f and %.0f; %.1f writes a second of all; all ready after %v, granted after %v, out after %v\n", n,
 			r.Messages, r.Bytes, r.VoterMessages, r.VoterBytes, r.Writes, r.Formed, r.Granted, r.Drained)
 	}
+	for _, n := range c.CatchUp {
+		for _, bytes := range []int{256 << 10, 16 << 20} {
+			r, err := procs.CatchUp(n, bytes, c.Seed)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("%d items, %d bytes a second from each: %v, %d bytes, %v the longest held, %d bytes of memory an item\n", n, bytes, r.Took, r.Bytes, r.Held.Round(10*time.Microsecond), r.Size)
+		}
+	}
 	lines := map[string]plot.Line{}
 	for _, n := range c.Spread {
 		for _, way := range []string{procs.WayOurs, procs.WayPull, procs.WayFull, procs.WayPush} {
--- a/cmd/larchusher/shared.go
+++ b/cmd/larchusher/shared.go
@@ -9,19 +9,11 @@
 	"text/tabwriter"
 
 	"larchusher/fleet"
+	"larchusher/internal/fleethost"
 	"larchusher/replica"
 )
 
-// sharedState is what a gateway tells of what is kept in common.
-type sharedState struct {
-	Gateway  string               `json:"gateway"`
-	Catching bool                 `json:"catching_up"`
-	Slots    int                  `json:"slots"`
-	Rows     []replica.Row        `json:"rows"`
-	Differ   []replica.Difference `json:"differences"`
-}
-
-func (f *fleetFlags) shared(at, kind string) (*sharedState, error) {
+func (f *fleetFlags) shared(at, kind string) (*fleethost.Shown, error) {
 	one := *f
 	if at != "" {
 		one.At = at
@@ -33,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var s sharedState
+	var s fleethost.Shown
 	if err := json.Unmarshal(m.Value, &s); err != nil {
 		return nil, fmt.Errorf("state: the reply: %w", err)
 	}
@@ -70,7 +62,7 @@
 	}
 	fmt.Println()
 	for _, d := range s.Differ {
-		fmt.Printf("differed from %s in %s: %s\n", d.With, d.Kind, d.Cause)
+		fmt.Printf("differed from %s in numbers %d to %d of %s: %s\n", d.With, d.From, d.To, d.Life.Name, d.Cause)
 	}
 	return nil
 }
--- a/internal/fleethost/share.go
+++ b/internal/fleethost/share.go
@@ -100,8 +100,8 @@
 	s.h.holdAll()
 }
 
-// shown is what a tool is told.
-type shown struct {
+// Shown is what a tool is told.
+type Shown struct {
 	Gateway  string               `json:"gateway"`
 	Catching bool                 `json:"catching_up,omitempty"`
 	Slots    int                  `json:"slots"`
@@ -115,7 +115,7 @@
 	var err error
 	switch {
 	case m.Query == queryShared:
-		out := shown{Gateway: s.h.cfg.Name, Catching: s.node.CatchingUp(), Differ: s.node.Differences()}
+		out := Shown{Gateway: s.h.cfg.Name, Catching: s.node.CatchingUp(), Differ: s.node.Differences()}
 		out.Rows, out.Slots = s.node.Rows(s.h.now(), string(m.Value), rowsMost)
 		reply.Value, err = json.Marshal(out)
 	default:
--- a/internal/net/fleetlink/link_test.go
+++ b/internal/net/fleetlink/link_test.go
@@ -47,7 +47,7 @@
 	if rapid.Bool().Draw(t, "copy") {
 		life := replica.Life{Name: "w" + text.Draw(t, "writer"), Number: rapid.Uint64().Draw(t, "number")}
 		m.Copy = &replica.Message{Kind: replica.Answer, ID: m.ID, Most: 17, More: m.Blank, Have: []replica.Have{{Life: life, UpTo: [2]uint64{m.Life, 3}}},
-			Digests: map[replica.Kind]uint64{replica.Purge: m.Have},
+			Block: &replica.Block{Life: life, Stream: replica.Bulk, From: 3, To: m.Life, Sum: m.Have},
 			Slots: []replica.Wire{{Slot: replica.Slot{Writer: life, Seq: 9, Kind: replica.Kind(rapid.Uint32().Draw(t, "slot")), Key: text.Draw(t, "key"), Value: []byte("v"), Stamp: m.Life},
 				Oldest: 70 * time.Microsecond, Youngest: 30 * time.Microsecond}}}
 	}
--- a/internal/net/fleetlink/words.go
+++ b/internal/net/fleetlink/words.go
@@ -92,11 +92,8 @@
 		pb.Slot = append(pb.Slot, &linkpb.Slot{Writer: s.Writer.Name, Life: s.Writer.Number, Seq: s.Seq, Kind: uint32(s.Kind), Key: s.Key, Value: s.Value, Stamp: s.Stamp,
 			OldestUs: uint64(max(0, w.Oldest.Microseconds())), YoungestUs: uint64(max(0, w.Youngest.Microseconds()))})
 	}
-	for k, sum := range m.Digests {
-		if pb.Digest == nil {
-			pb.Digest = map[uint32]uint64{}
-		}
-		pb.Digest[uint32(k)] = sum
+	if b := m.Block; b != nil {
+		pb.Block = &linkpb.Block{Name: b.Life.Name, Life: b.Life.Number, Stream: int32(b.Stream), From: b.From, To: b.To, Sum: b.Sum}
 	}
 	return pb
 }
@@ -113,11 +110,8 @@
 		m.Slots = append(m.Slots, replica.Wire{Slot: replica.Slot{Writer: replica.Life{Name: s.GetWriter(), Number: s.GetLife()}, Seq: s.GetSeq(), Kind: replica.Kind(s.GetKind()), Key: s.GetKey(),
 			Value: s.GetValue(), Stamp: s.GetStamp()}, Oldest: time.Duration(min(oldest, s.GetOldestUs())) * time.Microsecond, Youngest: time.Duration(min(oldest, s.GetYoungestUs())) * time.Microsecond})
 	}
-	if d := pb.GetDigest(); d != nil {
-		m.Digests = map[replica.Kind]uint64{}
-		for k, sum := range d {
-			m.Digests[replica.Kind(k)] = sum
-		}
+	if b := pb.GetBlock(); b != nil {
+		m.Block = &replica.Block{Life: replica.Life{Name: b.GetName(), Number: b.GetLife()}, Stream: replica.Stream(b.GetStream()), From: b.GetFrom(), To: b.GetTo(), Sum: b.GetSum()}
 	}
 	return m
 }
--- a/lab/procs/spread.go
+++ b/lab/procs/spread.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"strconv"
 	"time"
 
@@ -184,3 +185,97 @@
 	out.Moved = bytes / float64(n)
 	return out, nil
 }
+
+// CatchingUp is what it takes one that returns to know what its neighbours know.
+type CatchingUp struct {
+	Items int
+	Took  time.Duration // in simulated time, over links of two milliseconds
+	Bytes int           // that were sent to it
+	Held  time.Duration // the longest that one message held up a real processor, at either end
+	Size  int           // bytes of memory a slot, at the one that has caught up
+}
+
+// CatchUp has one gateway of five return to four that know so many listings, told by two of them.
+func CatchUp(items, bytesASecond int, seed uint64) (CatchingUp, error) {
+	out := CatchingUp{Items: items}
+	names := []string{"a", "b", "c", "d", "e"}
+	clock := sim.Clock{Now: time.Second}
+	nodes := map[string]*replica.Node{}
+	newNode := func(name string, life uint64) (*replica.Node, error) {
+		return replica.NewNode(replica.Config{Self: replica.Life{Name: name, Number: life}, Members: names, Wall: func() time.Duration { return clock.Now }, Bytes: bytesASecond,
+			Wait: time.Hour, Seed: seed<<8 + life})
+	}
+	slots, reached := []replica.Slot(nil), map[replica.Life]uint64{}
+	for i := range items {
+		l := replica.Life{Name: names[i%4], Number: uint64(100 + i%4)}
+		reached[l]++
+		slots = append(slots, replica.Slot{Writer: l, Seq: reached[l], Kind: replica.Listing, Key: fmt.Sprintf("edge-1/%016x", i), Value: replica.Encode(replica.Place{Server: "box-17", Count: 3, GapMs: 800, WorkMs: 40}),
+			Early: clock.Now, Late: clock.Now})
+	}
+	for i, name := range names[:4] { // these know it all
+		n, err := newNode(name, uint64(i+1))
+		if err != nil {
+			return out, err
+		}
+		for _, s := range slots {
+			n.Take(clock.Now, clock.Now, s)
+		}
+		for l, seq := range reached {
+			n.Reached(clock.Now, l, replica.Bulk, seq)
+		}
+		nodes[name] = n
+	}
+	before := heap()
+	back, err := newNode("e", 9)
+	if err != nil {
+		return out, err
+	}
+	nodes["e"] = back
+	caught := time.Duration(0)
+	var handle func(name string, e replica.Event)
+	handle = func(name string, e replica.Event) {
+		began := time.Now()
+		all := nodes[name].Handle(clock.Now, e, nil)
+		out.Held = max(out.Held, time.Since(began))
+		for _, a := range all {
+			switch a := a.(type) {
+			case replica.Send:
+				if a.To == "e" {
+					for _, w := range a.Message.Slots {
+						out.Bytes += 48 + len(w.Slot.Key) + len(w.Slot.Value)
+					}
+				}
+				clock.At(clock.Now+2*time.Millisecond, func() { handle(a.To, replica.Heard{From: name, Message: a.Message}) })
+			case replica.CaughtUp:
+				if name == "e" {
+					caught = clock.Now
+				}
+			}
+		}
+	}
+	began := clock.Now
+	for _, name := range names {
+		var tick func()
+		tick = func() {
+			handle(name, replica.Tick{})
+			clock.At(clock.Now+50*time.Millisecond, tick)
+		}
+		clock.At(clock.Now, tick)
+	}
+	for caught == 0 && clock.Now < began+100*time.Second {
+		clock.Pass(10 * time.Millisecond)
+	}
+	out.Took = caught - began
+	if n := back.Len(); n > 0 {
+		out.Size = int(heap()-before) / n
+	}
+	return out, nil
+}
+
+// heap is what is in use after a collection.
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/replica/explore_test.go
+++ b/replica/explore_test.go
@@ -177,8 +177,8 @@
 	e.check()
 	var sums [3]uint64
 	for i, c := range e.copies {
-		for _, k := range []Kind{Purge, Health, Forget} {
-			sums[i] = sums[i]*31 + c.Digest(e.now, k)
+		for _, s := range c.slots {
+			sums[i] += c.part(e.now, s)
 		}
 		if had && c.Purges(e.now)["o"] == 0 {
 			return fmt.Sprintf("%c does not know of the purge, which somebody knew of", 'a'+i)
--- a/replica/node.go
+++ b/replica/node.go
@@ -49,14 +49,14 @@
 
 // Message goes between members.
 type Message struct {
-	Kind    MessageKind
-	ID      uint64 // of a Pull; in its Answer
-	Have    []Have // of a Pull and a Hint: what its sender has; of an Answer: what is reached by it
-	Most    int    // of a Pull: bytes that the answer may have
-	Slots   []Wire // of an Answer
-	More    bool   // of an Answer: there is more
-	Blank   bool   // of a Pull and an Answer: its sender is catching up itself
-	Digests map[Kind]uint64
+	Kind  MessageKind
+	ID    uint64 // of a Pull; in its Answer
+	Have  []Have // of a Pull and a Hint: what its sender has; of an Answer: what is reached by it
+	Most  int    // of a Pull: bytes that the answer may have
+	Slots []Wire // of an Answer
+	More  bool   // of an Answer: there is more
+	Blank bool   // of a Pull and an Answer: its sender is catching up itself
+	Block *Block // of an Answer that has nothing newer: how a stretch of a stream is there; nil: nothing is compared
 }
 
 // Event is anything that reaches a node.
@@ -111,10 +111,11 @@
 
 // Difference is one between two copies that should have been equal.
 type Difference struct {
-	With  string
-	Kind  Kind
-	Cause string
-	At    time.Duration
+	With     string
+	Life     Life // whose slots differ, and in which numbers
+	From, To uint64
+	Cause    string
+	At       time.Duration
 }
 
 // NodeCounters count what befell a node.
@@ -377,7 +378,7 @@
 		bytes += n.cfg.Size(s)
 	}
 	if len(slots) == 0 && !n.Behind(m.Have) && m.ID%checks == 0 {
-		a.Digests = n.digests()
+		a.Block = n.block()
 	}
 	n.bucket -= float64(bytes)
 	n.Stats.Answers++
@@ -387,14 +388,20 @@
 	}
 }
 
-func (n *Node) digests() map[Kind]uint64 {
-	all := map[Kind]uint64{}
-	for k, c := range n.count {
-		if c > 0 {
-			all[k] = n.Digest(n.now, k)
-		}
+// block draws a stretch of a stream to be compared; nil: there is none.
+func (n *Node) block() *Block {
+	all := slices.DeleteFunc(n.Haves(), func(h Have) bool { return h.UpTo == [streams]uint64{} })
+	if len(all) == 0 {
+		return nil
+	}
+	l, st := all[n.rng.IntN(len(all))], Stream(n.rng.IntN(int(streams)))
+	if l.UpTo[st] == 0 {
+		st = streams - 1 - st
+	}
+	if b, ok := n.Copy.Block(n.now, l.Life, st, 1+blockMost*n.rng.Uint64N(1+l.UpTo[st]/blockMost)); ok {
+		return &b
 	}
-	return all
+	return nil
 }
 
 // answered takes in what another has.
@@ -458,21 +465,15 @@
 	}
 }
 
-// check holds the copies against each other where they should be equal. One difference may be of what changed meanwhile; three
-// in a row with the same member are noted, and all that it has is asked for anew.
+// check holds a stretch of two copies against each other. What differs once may be of what ran out meanwhile; three times with the same
+// member it is noted, and that life's streams are asked for anew.
 func (n *Node) check(from string, m Message) {
-	if m.Digests == nil || len(m.Slots) > 0 {
+	if m.Block == nil || len(m.Slots) > 0 {
 		return
 	}
 	n.Stats.Checked++
-	own, bad := n.digests(), Kind(0)
-	for k, sum := range m.Digests {
-		if own[k] != sum && ruleOf(k).most > n.count[k]+n.count[k]/8 { // where room is short, copies drop what they drop
-			bad = k
-		}
-	}
-	if bad == 0 {
-		n.doubts[from] = 0
+	if n.Same(n.now, *m.Block) {
+		n.doubts[from] = max(0, n.doubts[from]-1)
 		return
 	}
 	if n.doubts[from]++; n.doubts[from] < 3 {
@@ -483,10 +484,10 @@
 	if len(n.differ) >= repairs {
 		n.differ = n.differ[1:]
 	}
-	n.differ = append(n.differ, Difference{With: from, Kind: bad, Cause: "equal versions, other slots: all are asked for anew", At: n.now})
-	for l, f := range n.lives {
-		if l != n.cfg.Self {
-			f.tracks[Safety].upTo, f.tracks[Bulk].upTo = 0, 0
-		}
+	n.differ = append(n.differ, Difference{With: from, Life: m.Block.Life, From: m.Block.From, To: m.Block.To, Cause: "the same numbers, other slots: they are asked for anew, or said anew by who wrote them", At: n.now})
+	if m.Block.Life == n.cfg.Self {
+		n.SayAgain(n.now, *m.Block)
+	} else {
+		n.Again(m.Block.Life)
 	}
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -110,6 +110,8 @@
 const (
 	mostKey   = 128 // bytes
 	mostValue = 512
+	sweepMost = 1000 // slots that are looked at in one go
+	blockMost = 64   // that two copies compare at once
 	mostLives = 4096 // lives whose streams are followed
 	share     = 4    // a writer holds at most one in so many of a kind
 	near      = 2 * time.Second
@@ -155,6 +157,8 @@
 	dead int
 }
 
+func (t *track) live() int { return len(t.log) - t.dead }
+
 // clean goes through the log once half of it is gone.
 func (t *track) clean() {
 	if t.dead*2 > len(t.log)+8 {
@@ -187,7 +191,9 @@
 	count map[Kind]int
 	of    map[Kind]map[string]int // slots by name of writer
 	stamp uint64
-	swept time.Duration
+
+	sweeping []Life // that are still to be swept in this pass, the first from sweptAt
+	sweptAt  int
 }
 
 // NewCopy returns an empty copy for a life. Purges last for settles: no older copy can be left anywhere after that.
@@ -239,7 +245,8 @@
 		c.Counters.Refused++
 		return false
 	}
-	if old := c.slots[s.id()]; old != nil && old.Seq >= s.Seq {
+	// One number of one life is one thing. Where it is not, a member is broken, or lies: all copies settle on the same of the two.
+	if old := c.slots[s.id()]; old != nil && (old.Seq > s.Seq || old.Seq == s.Seq && old.hash() >= s.hash()) {
 		c.Counters.Known++
 		return false
 	}
@@ -290,27 +297,31 @@
 	}
 }
 
-// crowd drops the oldest sixteenth of a kind's slots, of one writer or of all.
+// crowd drops a sixteenth of a writer's slots of a kind, those that it said first; an empty name: of the writer that has the most.
+// Guards against sorting all there is at every message once a bound is reached.
 func (c *Copy) crowd(k Kind, writer string) {
-	var all []*Slot
-	for _, l := range c.byKey[k] {
-		for _, s := range l {
-			if writer == "" || s.Writer.Name == writer {
-				all = append(all, s)
+	if writer == "" {
+		for name, n := range c.of[k] {
+			if n > c.of[k][writer] || n == c.of[k][writer] && name < writer {
+				writer = name
 			}
 		}
 	}
-	slices.SortFunc(all, oldest)
-	for _, s := range all[:max(1, len(all)/16)] {
-		c.Counters.Crowded++
-		c.remove(s)
+	drop := max(1, c.of[k][writer]/16)
+	for _, l := range slices.SortedFunc(maps.Keys(c.lives), Life.compare) {
+		if l.Name != writer {
+			continue
+		}
+		for _, s := range slices.Clone(c.lives[l].tracks[k.stream()].log) {
+			if drop > 0 && s.Kind == k && !s.gone {
+				drop--
+				c.Counters.Crowded++
+				c.remove(s)
+			}
+		}
 	}
 }
 
-func oldest(a, b *Slot) int {
-	return cmp.Or(cmp.Compare(a.Late, b.Late), a.Writer.compare(b.Writer), cmp.Compare(a.Seq, b.Seq))
-}
-
 func (c *Copy) remove(s *Slot) {
 	if s.gone {
 		return
@@ -362,26 +373,40 @@
 	}
 }
 
-// Sweep drops what has outlived its kind, and lives of which nothing is left. It does so twice a second at most.
+// Sweep drops what has outlived its kind, and lives of which nothing is left. It looks at so many slots at most and goes on from there the
+// next time: whoever reads looks at ages anyway.
 func (c *Copy) Sweep(now time.Duration) {
-	if now-c.swept < 500*time.Millisecond && c.swept > 0 {
-		return
-	}
-	c.swept = now
-	var old []*Slot
-	for _, s := range c.slots {
-		if now-s.Late > c.lifeOf(s.Kind) {
-			old = append(old, s)
+	if len(c.sweeping) == 0 {
+		for l, f := range c.lives {
+			c.sweeping = append(c.sweeping, l)
+			// Twice the longest life of a slot: what comes of such a life later than that has outlived itself anyway.
+			if l != c.self && now-f.active > 2*unknown.life && f.tracks[Safety].live()+f.tracks[Bulk].live() == 0 {
+				delete(c.lives, l)
+			}
 		}
-	}
-	for _, s := range old {
-		c.Counters.Expired++
-		c.remove(s)
-	}
-	for l, f := range c.lives {
-		// Twice the longest life of a slot: what comes of such a life later than that has outlived itself anyway.
-		if l != c.self && now-f.active > 2*unknown.life && len(f.tracks[Safety].log)-f.tracks[Safety].dead+len(f.tracks[Bulk].log)-f.tracks[Bulk].dead == 0 {
-			delete(c.lives, l)
+		slices.SortFunc(c.sweeping, Life.compare)
+	}
+	for left := sweepMost; left > 0 && len(c.sweeping) > 0; {
+		f := c.lives[c.sweeping[0]]
+		if f == nil || c.sweptAt >= len(f.tracks[Safety].log)+len(f.tracks[Bulk].log) {
+			c.sweeping, c.sweptAt = c.sweeping[1:], 0
+			left-- // for the life
+			continue
+		}
+		i, t := c.sweptAt, &f.tracks[Safety]
+		if i >= len(t.log) {
+			i, t = i-len(t.log), &f.tracks[Bulk]
+		}
+		s := t.log[i]
+		c.sweptAt++
+		left--
+		if !s.gone && now-s.Late > c.lifeOf(s.Kind) {
+			c.Counters.Expired++
+			before := len(t.log)
+			c.remove(s)
+			if len(t.log) < before { // it was gone through: from its beginning
+				c.sweptAt = 0
+			}
 		}
 	}
 }
@@ -484,22 +509,93 @@
 	return all
 }
 
+// SayAgain says what the own life has said in a stretch once more, under new numbers: the writer has the last word on its own.
+func (c *Copy) SayAgain(now time.Duration, b Block) {
+	t := &c.lives[c.self].tracks[b.Stream]
+	at, _ := slices.BinarySearchFunc(t.log, b.From, func(x *Slot, seq uint64) int { return cmp.Compare(x.Seq, seq) })
+	var all []Slot
+	for _, s := range t.log[at:] {
+		if s.Seq <= b.To && len(all) <= blockMost && !s.gone {
+			all = append(all, *s)
+		}
+	}
+	for _, s := range all {
+		t.upTo++
+		s.Seq = t.upTo
+		c.Counters.Written++
+		c.put(now, &s)
+	}
+}
+
 // Len is the number of slots.
 func (c *Copy) Len() int { return len(c.slots) }
 
 // Count is the number of slots of a kind.
 func (c *Copy) Count(k Kind) int { return c.count[k] }
 
-// Digest is of all slots of a kind, the same for equal ones; those near their end are left out, as clocks differ.
-func (c *Copy) Digest(now time.Duration, k Kind) (sum uint64) {
-	for _, l := range c.byKey[k] {
-		for _, s := range l {
-			if now-s.Late < c.lifeOf(k)-near {
-				sum += s.hash()
-			}
+// Block is a stretch of one stream, by which two copies are held against each other.
+type Block struct {
+	Life     Life
+	Stream   Stream
+	From, To uint64 // numbers, both included
+	Sum      uint64
+}
+
+// Block gives the sum of a stretch of a stream as it is here, from a number on: of so many slots at most, without those near their end, as
+// clocks differ. False: there is none.
+func (c *Copy) Block(now time.Duration, l Life, st Stream, from uint64) (Block, bool) {
+	b := Block{Life: l, Stream: st, From: from}
+	f := c.lives[l]
+	if f == nil {
+		return b, false
+	}
+	t := &f.tracks[st]
+	at, _ := slices.BinarySearchFunc(t.log, from, func(x *Slot, seq uint64) int { return cmp.Compare(x.Seq, seq) })
+	n := 0
+	for _, s := range t.log[at:] {
+		if n++; n > blockMost {
+			break
+		}
+		b.To = s.Seq
+		b.Sum += c.part(now, s)
+	}
+	return b, n > 0
+}
+
+// part is what a slot adds to a sum.
+func (c *Copy) part(now time.Duration, s *Slot) uint64 {
+	if s.gone || now-s.Late > c.lifeOf(s.Kind)-near {
+		return 0
+	}
+	return s.hash()
+}
+
+// Same says whether a stretch is the same here. It is, too, where this copy is not as far.
+func (c *Copy) Same(now time.Duration, b Block) bool {
+	f := c.lives[b.Life]
+	if b.Stream < 0 || b.Stream >= streams || f == nil || f.tracks[b.Stream].upTo < b.To {
+		return true
+	}
+	t := &f.tracks[b.Stream]
+	at, _ := slices.BinarySearchFunc(t.log, b.From, func(x *Slot, seq uint64) int { return cmp.Compare(x.Seq, seq) })
+	sum, n := uint64(0), 0
+	for _, s := range t.log[at:] {
+		if s.Seq > b.To || n > 4*blockMost { // more than anybody says there are
+			break
+		}
+		n++
+		sum += c.part(now, s)
+	}
+	return sum == b.Sum
+}
+
+// Again forgets how far a life's streams are known, so that all of it is sent anew.
+func (c *Copy) Again(l Life) {
+	if f := c.lives[l]; f != nil && l != c.self {
+		for st := range streams {
+			f.tracks[st].upTo = 0
 		}
 	}
-	return sum
 }
 
 func (s *Slot) hash() uint64 {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -34,8 +34,8 @@
 }
 
 func (c *Copy) sum() (sum uint64) {
-	for _, k := range []Kind{Purge, Drain, Health, Listing, 99} {
-		sum += c.Digest(100*sec, k)
+	for _, s := range c.slots {
+		sum += s.hash()
 	}
 	return sum
 }
@@ -290,3 +290,24 @@
 		}
 	}
 }
+
+// What nobody asked for, or asked somebody else for, says nothing: its ages can't be counted from a question.
+func TestOnlyAnswersToQuestionsAreTaken(t *testing.T) {
+	n, err := NewNode(Config{Self: life("n", 2), Members: []string{"a", "b", "n"}, Wall: func() time.Duration { return sec }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ask := n.Handle(sec, Tick{}, nil)[0].(Send)
+	other := map[string]string{"a": "b", "b": "a"}[ask.To]
+	w := []Wire{{Slot: Slot{Writer: life("w", 1), Seq: 1, Kind: Purge, Key: "o"}}}
+	n.Handle(sec, Heard{ask.To, Message{Kind: Answer, ID: ask.Message.ID + 1, Slots: w}}, nil)
+	n.Handle(sec, Heard{other, Message{Kind: Answer, ID: ask.Message.ID, Slots: w}}, nil)
+	n.Handle(sec, Heard{"stranger", Message{Kind: Answer, ID: ask.Message.ID, Slots: w}}, nil)
+	if n.Len() != 0 || n.Stats.Stale != 2 {
+		t.Errorf("%d slots were taken, %d answers passed over", n.Len(), n.Stats.Stale)
+	}
+	n.Handle(sec, Heard{ask.To, Message{Kind: Answer, ID: ask.Message.ID, Slots: w}}, nil)
+	if n.Len() != 1 {
+		t.Error("the answer was not taken")
+	}
+}
--- a/replica/world_test.go
+++ b/replica/world_test.go
@@ -407,3 +407,47 @@
 		t.Errorf("it took %v, with %d listings there", took, full)
 	}
 }
+
+// Two copies hold different things under one number, and one has lost some without knowing: stretches that are compared tell, it is
+// noted, and all settle on the same.
+func TestWhatDiffersIsFoundAndSettled(t *testing.T) {
+	w := newWorld(9, 3)
+	w.clock.Pass(time.Second)
+	g0, g1 := w.nodes["g0"], w.nodes["g1"]
+	say := func() {
+		for i := range 30 {
+			g0.node.own = 1e9
+			g0.node.Say(w.local(g0), Listing, fmt.Sprintf("o%d", i), Encode(Place{Server: "b1", Count: 1}), w.local(g0))
+		}
+	}
+	say()
+	if _, ok := w.settle(10 * time.Second); !ok {
+		t.Fatal("the listings do not spread")
+	}
+	for i := range 5 {
+		x := g1.node.slots[id{Listing, fmt.Sprintf("o%d", i), g0.node.self}]
+		if i == 0 {
+			x.Value = Encode(Place{Server: "b9"})
+		} else {
+			g1.node.remove(x)
+		}
+	}
+	if w.alike() {
+		t.Fatal("nothing differs")
+	}
+	took, ok := w.settle(60 * time.Second)
+	if !ok {
+		t.Fatalf("it is not settled: %s", w.lacking())
+	}
+	noted := 0
+	for _, m := range w.nodes {
+		for _, d := range m.node.Differences() {
+			if noted++; d.Life != g0.node.self {
+				t.Errorf("%+v", d)
+			}
+		}
+	}
+	if noted == 0 {
+		t.Errorf("settled after %v, and nobody noted it", took)
+	}
+}
