Plots: a store that comes back waits for its port

Seen: 4 of 200 plots said 'does not come back: ... bind: address already in use'. A process that is being started holds copies of listeners between fork and exec; ruled out: ports given to outgoing connections, which leave from 127.0.0.1 while stores have an address of the plot's own.

--- a/lab/procs/procs.go
+++ b/lab/procs/procs.go
@@ -524,6 +524,11 @@
 func (p *play) revive(m *machine) error {
 	m.store.Close()
 	s, err := standin.NewStore(m.name, m.kind, m.addr)
+	for tries := 0; err != nil && tries < 50; tries++ {
+		// A process that is being started, of this plot or of another, holds the old listener until it is itself.
+		time.Sleep(20 * time.Millisecond)
+		s, err = standin.NewStore(m.name, m.kind, m.addr)
+	}
 	if err != nil {
 		return err
 	}
--- a/lab/zones/directed.go
+++ b/lab/zones/directed.go
@@ -360,7 +360,7 @@
 	if err != nil {
 		return fmt.Errorf("scene: %w", err)
 	}
-	g.sharer = knowledge.NewSharer(g.node, d.sc.Zones[g.home].Name, 512)
+	g.sharer = knowledge.NewSharer(g.node, d.sc.Zones[g.home].Name, toldListings)
 	return nil
 }
 
@@ -371,7 +371,7 @@
 	tick = func() {
 		if ticks++; !g.down {
 			if ticks%5 == 0 {
-				m := g.ds[0].Export(d.clock.Now, 512)
+				m := g.ds[0].Export(d.clock.Now, toldListings)
 				list := map[string]control.Member{}
 				for _, e := range d.listing() {
 					list[e.ID] = e
@@ -857,3 +857,6 @@
 	s.over()
 	return s.res.Over
 }
+
+// toldListings is of how many objects a gateway tells the others.
+const toldListings = 4096
