Purges in a row: none is lost between a neighbour's word and the next one

The group had been purged twice, 495 ms apart; at fault: knowledge/shared.go, Tell, took what was purged within 500 ms of a known purge for the same one. Now within 100 ms, and what is told counts as that much younger, so that what was not said is covered; what a neighbour told is not said on as own, or it would grow younger with each. Ruled out: the spreading itself (0.2 s), the stores' record (both purges in it).

--- a/internal/fleethost/share.go
+++ b/internal/fleethost/share.go
@@ -61,7 +61,7 @@
 		case replica.Learned:
 			for _, x := range a.Slots {
 				if x.Kind == replica.Purge { // at once: the own journal may be late
-					s.h.gw.Told(x.Key, s.h.now()-x.Late)
+					s.h.gw.Told(x.Key, s.sharer.Purged(s.h.now(), s.h.gw.Clock(s.h.loop.Now()), x.Key, x.Late))
 				}
 			}
 			s.hold()
--- a/knowledge/shared.go
+++ b/knowledge/shared.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -18,7 +19,8 @@
 
 const (
 	sameListing = 20 * time.Second       // what somebody said of an object so lately is not said again
-	samePurge   = 500 * time.Millisecond // two notices of one purge differ by less
+	samePurge   = 100 * time.Millisecond // two notices of one purge differ by less, mostly: what is purged again so soon is not told, but covered
+	ownWord     = 20 * time.Millisecond  // by more than this a purge is another one than a neighbour told this gateway of
 	heldWithin  = 10 * time.Second       // a drain that the own list has not told of counts for so long
 	heldShare   = 4                      // at most one in so many stores of a kind and zone is held on others' word alone
 )
@@ -32,11 +34,12 @@
 	most  int
 	up    map[string]control.Member // stores that the list had in use, when it was last looked at
 	voice map[string]bool           // stores of which something was said
+	heard map[string]time.Duration  // purges that neighbours told of, as the director has them
 }
 
 // NewSharer returns a sharer for a gateway of a zone, that tells of so many listings at most.
 func NewSharer(node *replica.Node, zone string, most int) *Sharer {
-	return &Sharer{node: node, zone: zone, most: most, up: map[string]control.Member{}, voice: map[string]bool{}}
+	return &Sharer{node: node, zone: zone, most: most, up: map[string]control.Member{}, voice: map[string]bool{}, heard: map[string]time.Duration{}}
 }
 
 // bootMs tells starts apart at all gateways alike, whose clocks give one to a few microseconds.
@@ -54,12 +57,18 @@
 		return true
 	}
 	known := s.node.Purges(now)
+	held := map[string]bool{}
 	for _, p := range m.Purges {
+		held[p.Name] = true
+		if at, ok := s.heard[p.Name]; ok && p.At <= at+ownWord {
+			continue // guards against what a neighbour said being said on, each time a little younger
+		}
 		// What a neighbour said of it will do: three hundred gateways need not say it each.
 		if at, ok := known[p.Name]; !ok || seen(p.At) > at+samePurge {
 			say(replica.Purge, p.Name, nil, seen(p.At))
 		}
 	}
+	maps.DeleteFunc(s.heard, func(name string, _ time.Duration) bool { return !held[name] }) // it has settled
 	for id, e := range list {
 		if e.Phase == control.Up {
 			if s.up[id] = e; s.node.Said(replica.Drain, id) {
@@ -116,6 +125,14 @@
 
 func (s *Sharer) key(object uint64) string { return s.zone + "/" + strconv.FormatUint(object, 16) }
 
+// Purged is how long ago the director, whose clock is at, is to take a purge for made that others were told of. What was purged again
+// within samePurge of it is covered by that, as nobody may have said it.
+func (s *Sharer) Purged(now, at time.Duration, name string, told time.Duration) (ago time.Duration) {
+	ago = max(0, now-told-samePurge)
+	s.heard[name] = max(s.heard[name], at-ago)
+	return ago
+}
+
 // Gather is what neighbours know, as a director takes it in: at is its clock. Ages are kept. The list says by which start the director
 // knows a store; without it that is taken as it was told.
 func (s *Sharer) Gather(now, at time.Duration, list map[string]control.Member) control.Memory {
@@ -144,7 +161,7 @@
 		m.Servers = append(m.Servers, h)
 	}
 	for name, t := range s.node.Purges(now) {
-		m.Purges = append(m.Purges, control.Purged{Name: name, At: when(t)})
+		m.Purges = append(m.Purges, control.Purged{Name: name, At: at - s.Purged(now, at, name, t)})
 	}
 	slices.SortFunc(m.Purges, func(a, b control.Purged) int { return cmp.Compare(a.Name, b.Name) })
 	return m
--- a/lab/procs/procs.go
+++ b/lab/procs/procs.go
@@ -722,17 +722,24 @@
 			}
 		}
 	}
-	// In the end all tell the same.
+	// In the end all tell the same: what still changes between two looks is looked at again.
 	told := map[string]bool{}
-	for _, g := range p.gateways {
-		for range 20 {
-			m, err := p.order(ctx, g, fleet.Message{Query: "state"})
-			if err == nil && m.Refused == "" {
-				told[string(m.Value)] = true
-				break
+	for range 30 {
+		clear(told)
+		for _, g := range p.gateways {
+			for range 20 {
+				m, err := p.order(ctx, g, fleet.Message{Query: "state"})
+				if err == nil && m.Refused == "" {
+					told[string(m.Value)] = true
+					break
+				}
+				time.Sleep(100 * time.Millisecond)
 			}
-			time.Sleep(100 * time.Millisecond)
 		}
+		if len(told) == 1 || ctx.Err() != nil {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
 	}
 	if len(told) > 1 {
 		p.faults.add("in the end gateways tell %d different states", len(told))
