--- a/cmd/larchusher-lab/procs.go
+++ b/cmd/larchusher-lab/procs.go
@@ -22,6 +22,7 @@
 	Plot    string   `help:"Play the plot in this file." placeholder:"FILE"`
 	Named   []string `help:"Play these of the written plots; all: each of them."`
 	Mutants string   `help:"Instead: take one rule after another out of the program of the repository at this place, and see that a plot finds it." placeholder:"DIR"`
+	Only    string   `help:"With --mutants: those with this in their names."`
 	Rest    []int    `help:"Instead: what fleets of so many gateways send each other at rest, in simulated time."`
 	Spread  []int    `help:"Instead: how fleets of so many gateways come to know the same, in simulated time, by several ways."`
 	CatchUp []int    `help:"Instead: what it takes one that returns to know so many items, in simulated time."`
@@ -172,6 +173,9 @@
 func (c *procsCmd) mutate() error {
 	escaped, fail := 0, []error(nil)
 	for _, m := range procs.Mutants {
+		if !strings.Contains(m.Name, c.Only) {
+			continue
+		}
 		found, err := c.catch(m)
 		if err != nil {
 			fail = append(fail, err)
--- a/lab/procs/mutants.go
+++ b/lab/procs/mutants.go
@@ -54,7 +54,7 @@
 // and the load of the upper caches hold it by themselves.
 var Mutants = []Mutant{
 	{Name: "a drain begins though a gateway has not heard of the grant", File: "work/order.go", Old: "if g.Heard < r.Epoch {", New: "if false && g.Heard < r.Epoch {", Text: cutBefore},
-	{Name: "a machine is called out though a gateway has not stopped", File: "work/order.go", Old: "} else if !span.Lapsed {", New: "} else if false {", Plot: "stopped"},
+	{Name: "a machine is called out though a gateway has not stopped", File: "work/order.go", Old: "} else if !span.Lapsed {", New: "} else if false {", Text: slowStores},
 	{Name: "what is held is sent to all the same", File: "work/work.go", Old: "held[r.Machine] = true\n\t\t}\n\t}\n\treturn held", New: "_ = held\n\t\t}\n\t}\n\treturn held", Text: crowded},
 	{Name: "any number is out at once", File: "work/order.go", Old: "if out >= b.AtOnce {", New: "if false {", Text: crowded},
 	{Name: "any share of a zone is out", File: "work/order.go", Old: "if gone > 0 && gone+1 >", New: "if false && gone+1 >", Text: crowded},
@@ -64,13 +64,16 @@
 	{Name: "a start forgets what was granted", File: "internal/fleethost/host.go", Old: "if nc.View, err = readFile(dir, viewFile, h.cfg.Key); err == nil && nc.View != nil {", New: "nc.View = []byte(\"{}\")\n\tif nc.View != nil {", Text: forgetful},
 }
 
-// slowStores has machines go out while their answers take long.
+// slowStores has machines go out right after their answers have begun to take long.
 const slowStores = `plot seed 404 gateways 3 boxes 4 for 12s
-at 500ms slowly 900ms
+at 1450ms slowly 1200ms
 at 1.5s ask b0-0 g0
-at 1.6s ask b1-0 g1
-at 3s ask b0-1 g2
-at 7s slowly 2ms
+at 1.5s ask b1-0 g1
+at 4s slowly 2ms
+at 5950ms slowly 1200ms
+at 6s ask b0-1 g2
+at 6s ask b1-1 g0
+at 8.5s slowly 2ms
 at 9s heal`
 
 // forgetful kills a gateway that has heard of a grant, cuts it off, and starts it again.
