--- a/cmd/larchusher-lab/procs.go
+++ b/cmd/larchusher-lab/procs.go
@@ -22,6 +22,7 @@
 	Plot    string   `help:"Play the plot in this file." placeholder:"FILE"`
 	Named   []string `help:"Play these of the written plots; all: each of them."`
 	Mutants string   `help:"Instead: take one rule after another out of the program of the repository at this place, and see that a plot finds it." placeholder:"DIR"`
+	Only    string   `help:"With --mutants: those with this in their names."`
 	Rest    []int    `help:"Instead: what fleets of so many gateways send each other at rest, in simulated time."`
 	Spread  []int    `help:"Instead: how fleets of so many gateways come to know the same, in simulated time, by several ways."`
 	CatchUp []int    `help:"Instead: what it takes one that returns to know so many items, in simulated time."`
@@ -172,6 +173,9 @@
 func (c *procsCmd) mutate() error {
 	escaped, fail := 0, []error(nil)
 	for _, m := range procs.Mutants {
+		if !strings.Contains(m.Name, c.Only) {
+			continue
+		}
 		found, err := c.catch(m)
 		if err != nil {
 			fail = append(fail, err)
@@ -248,7 +252,7 @@
 			if err != nil {
 				return err
 			}
-			fmt.Printf("%d gateways, %s: a purge at nine in ten after %v, at all after %v; after a heal all after %v, with %.0f bytes of each; %.0f bytes a second at rest\n", n, way, r.Purge, r.All, r.Heal, r.Moved, r.Rest)
+			fmt.Printf("%d gateways, %s: a purge at nine in ten after %s, at all after %s; after a heal all after %s, with %.0f bytes of each; %.0f bytes a second at rest\n", n, way, orNever(r.Purge), orNever(r.All), orNever(r.Heal), r.Moved, r.Rest)
 			if l := lines[way]; r.Heal > 0 {
 				l.Name, l.XY = way, append(l.XY, [2]float64{float64(n), r.Heal.Seconds()})
 				lines[way] = l
@@ -326,10 +330,18 @@
 		if i >= len(ways)-4 {
 			l = &lines[1]
 		}
-		l.XY = append(l.XY, [2]float64{(sum.Ended / time.Duration(c.Plan)).Minutes(), sum.Worst / k})
+		l.XY = append(l.XY, [2]float64{(sum.Ended / time.Duration(c.Plan)).Minutes(), 100 * (1 - sum.Worst/k)})
 	}
 	if c.Draw == "" {
 		return nil
 	}
-	return plot.Draw(c.Draw, "Forty machines, load 0.6", "minutes to the end", "worth in aim, worst ten seconds", lines)
+	return plot.Draw(c.Draw, "Forty machines, load 0.6", "minutes to the end", "worth lost in the worst ten seconds, %", lines)
+}
+
+// orNever words how long something took, that may not have come.
+func orNever(d time.Duration) string {
+	if d == 0 {
+		return "(not within its time)"
+	}
+	return d.String()
 }
