--- a/cmd/larchusher/serve.go
+++ b/cmd/larchusher/serve.go
@@ -73,6 +73,12 @@
 
 // Run serves until SIGTERM.
 func (s *serve) Run(log *logrus.Logger) error {
+	// Before anything else. Guards against a signal that comes during the start: SIGUSR1 was lost, and SIGTERM and SIGHUP
+	// would have ended the program at once. What is to end it has a channel of its own: others can't take its place.
+	signals, end := make(chan os.Signal, 4), make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGHUP)
+	signal.Notify(end, syscall.SIGTERM, syscall.SIGINT)
+
 	op, err := config.LoadOperator(s.Operator, os.Getenv)
 	if err != nil {
 		return err
@@ -88,11 +94,6 @@
 	// Garbage is let grow where there is memory for it: collecting took a fifth of the time at full load.
 	debug.SetGCPercent(min(400, max(100, 2*cfg.Limits.MemoryMB)))
 
-	// Before anything is served. Guards against a signal that comes as soon as the log says so: SIGUSR1 was lost,
-	// and SIGTERM would have ended the program without its answers.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-
 	p := &program{log: log.WithField("gateway", cfg.Name), loop: gateway.NewLoop(), cfg: cfg, op: op, file: s.Operator}
 	for _, n := range cfg.Notes {
 		p.log.Warn(n)
@@ -161,6 +162,10 @@
 	p.log.WithField("listen", l.Addr().String()).Info("serving")
 
 	go p.mind(signals)
+	go func() { // a second one changes nothing
+		<-end
+		p.loop.Post(p.drain)
+	}()
 	p.loop.Run()
 	if p.keeper != nil {
 		p.keeper.Close(lastSnapshot)
@@ -318,16 +323,11 @@
 
 // mind hands signals to the loop.
 func (p *program) mind(signals <-chan os.Signal) {
-	ending := false
 	for s := range signals {
-		switch {
-		case s == syscall.SIGUSR1:
-			p.loop.Post(p.print)
-		case s == syscall.SIGHUP:
+		if s == syscall.SIGHUP {
 			p.reload()
-		case !ending:
-			ending = true
-			p.loop.Post(p.drain)
+		} else {
+			p.loop.Post(p.print)
 		}
 	}
 }
@@ -360,16 +360,34 @@
 
 // finish ends the program once nothing is open any more, or at the last moment with an answer to what is.
 func (p *program) finish(last time.Time) {
-	if now := p.loop.Now(); !now.Before(last) {
+	now := p.loop.Now()
+	late := !now.Before(last)
+	if late {
 		p.gw.Close()
-		p.loop.After(flushFor, p.end)
+	}
+	if late || p.gw.Open() == 0 && p.front.Idle() && (p.signed == nil || p.signed.Idle()) {
+		p.front.Shut()
+		if p.signed != nil {
+			p.signed.Shut()
+		}
+		until := now.Add(transport.Linger)
+		if most := last.Add(flushFor); until.After(most) {
+			until = most
+		}
+		p.linger(until)
 		return
 	}
-	if p.gw.Open() == 0 && p.front.Idle() && (p.signed == nil || p.signed.Idle()) {
+	p.loop.After(10*time.Millisecond, func() { p.finish(last) })
+}
+
+// linger waits until all clients have taken their last answers and closed. Guards against the reset that ending with
+// unread bytes sends: it takes away what a client has not read.
+func (p *program) linger(until time.Time) {
+	if p.engine.Lingering() == 0 || !p.loop.Now().Before(until) {
 		p.end()
 		return
 	}
-	p.loop.After(10*time.Millisecond, func() { p.finish(last) })
+	p.loop.After(5*time.Millisecond, func() { p.linger(until) })
 }
 
 // end ends the program; where others wait for its own turn, they hear of it first.
--- a/coldstart/coldstart.go
+++ b/coldstart/coldstart.go
@@ -5,8 +5,9 @@
 import "time"
 
 const (
-	margin = 0.9                    // share of what it can take that is spent: those who send differ in size
-	burst  = 500 * time.Millisecond // as much may be saved up
+	margin = 0.9          // share of what it can take that is spent: those who send differ in size
+	saved  = 1/margin - 1 // of Within, for which as much may be saved up: spent at once, it still fits the window
+	untold = 100          // senders that are reckoned with where their number is not told
 )
 
 // Ramp says how a store warms up.
@@ -39,15 +40,19 @@
 // Can is the cost a second that is known to be within what it has at full capacity, by what warm ones of its size do for
 // this sender, and does what it was seen to do now. All senders together stay within the multiple if each keeps to that
 // multiple of what is done for it; one that knows nothing has its part, one in among, of a floor of one sending in Within.
+// Where among is not known (0), it is one of many: guards against each of a whole fleet taking the floor for its own.
 // The budget may be overdrawn by one sending, so that no floor of a whole one adds up over senders. Luck, between 0 and 1,
 // spreads the first sendings: many learn of a start at once.
 func (r Ramp) Allows(b *Budget, now, start time.Duration, cost, can, does, among float64, luck func() float64) bool {
 	rate := r.Multiple * margin * max(can*r.Share(now, start), does)
+	if among <= 0 {
+		among = untold
+	}
 	rate = max(rate, cost/max(1, r.Within.Seconds())/max(1, among))
 	if b.at < start {
 		b.left, b.at = -cost*luck(), now
 	}
-	b.left = min(rate*burst.Seconds(), b.left+rate*(now-b.at).Seconds())
+	b.left = min(rate*saved*r.Within.Seconds(), b.left+rate*(now-b.at).Seconds())
 	b.at = now
 	return b.left >= 0
 }
--- a/control/api.go
+++ b/control/api.go
@@ -74,7 +74,7 @@
 // Settings are what a director is told at its start.
 type Settings struct {
 	Me          int      // number of this director
-	Directors   int      // directors in all
+	Directors   int      // directors in all; 0: not told
 	Zone        string   // zone of this director, its location
 	Zones       []string // all zones
 	ZoneHub     []int    // by zone: the zone index of its hub
--- a/control/control.go
+++ b/control/control.go
@@ -364,7 +364,7 @@
 		}
 	}
 	a.filling = a.source != a.to && (e == nil || !e.likely(a.to) || d.gone(r))
-	if a.to == nil || a.source == nil || r.Deadline-d.now <= r.work || !d.repeatable(r, a.to) ||
+	if a.to == nil || a.source == nil || r.Deadline-d.now <= r.work || !d.repeatable(r, a.to, nil) ||
 		d.set.MaxAttempts > 0 && len(r.attempts) >= d.set.MaxAttempts ||
 		e != nil && (len(r.attempts) == 0 && !d.fits(a.to, r) || !d.fillable(r, a)) {
 		if !r.outstanding() {
@@ -479,7 +479,7 @@
 func (d *Director) giveUp(r *request) {
 	d.cancel(r)
 	harmless := r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Scope == ScopeAll
-	if harmless || r.mayHaveRun() == nil {
+	if harmless || r.mayHaveRun(nil) == nil {
 		d.do(Refuse{ID: r.ID, After: d.advice()})
 	} else {
 		d.do(Fail{ID: r.ID})
@@ -622,19 +622,19 @@
 
 // ---- rule guards ----
 
-// mayHaveRun returns the first attempt that is not known not to have run.
-func (r *request) mayHaveRun() *attempt {
+// mayHaveRun returns the first attempt that is not known not to have run, but for one.
+func (r *request) mayHaveRun(but *attempt) *attempt {
 	for _, a := range r.attempts {
-		if a.out || a.ran {
+		if a != but && (a.out || a.ran) {
 			return a
 		}
 	}
 	return nil
 }
 
-// repeatable says whether the effect rule lets this attempt go to s.
-func (d *Director) repeatable(r *request, s *server) bool {
-	first := r.mayHaveRun()
+// repeatable says whether the effect rule lets this attempt go to s now, whatever comes of one that is not written.
+func (d *Director) repeatable(r *request, s *server, but *attempt) bool {
+	first := r.mayHaveRun(but)
 	if r.class.Effect == Safe || first == nil {
 		return true
 	}
@@ -680,7 +680,7 @@
 	}
 	d.gauge(s.role)
 	return d.ramp(s.role).Allows(&s.budget, d.now, s.boot, d.cost(r), d.carried[s.role]*s.weight,
-		s.recent(d.now), d.sharing(s.role), d.rng.Float64)
+		s.recent(d.now), d.among(s.role), d.rng.Float64)
 }
 
 // gauge notes what warm servers of a role carry, ill ones too. It holds where none is left.
@@ -698,11 +698,14 @@
 }
 
 // sharing is the number of directors that send to servers of a role.
-func (d *Director) sharing(r role) float64 {
-	if r == cache && d.zone < len(d.set.ZonePeers) {
-		return float64(max(1, d.set.ZonePeers[d.zone]))
+func (d *Director) sharing(r role) float64 { return max(1, d.among(r)) }
+
+// among is that number, or 0 where it is not told.
+func (d *Director) among(r role) float64 {
+	if r == cache && d.zone < len(d.set.ZonePeers) && d.set.ZonePeers[d.zone] > 0 {
+		return float64(d.set.ZonePeers[d.zone])
 	}
-	return float64(max(1, d.set.Directors))
+	return float64(d.set.Directors)
 }
 
 func (d *Director) cost(r *request) float64 { return r.class.work.Seconds() }
@@ -712,7 +715,8 @@
 func (d *Director) did(r *request) float64 { return min(d.cost(r), r.work.Seconds()) }
 
 // Recheck says whether an attempt that waited, for its connection say, may still be written at the given
-// time, and with which age limit: its store or source may drain by now, or its object may have been purged.
+// time, and with which age limit: its store or source may drain by now, the time in which repeats of its request are
+// dropped may have passed, or its object may have been purged.
 func (d *Director) Recheck(now time.Duration, id string, number int) (maxAge time.Duration, ok bool) {
 	r := d.requests[id]
 	if r == nil || number < 0 || number >= len(r.attempts) || r.over {
@@ -720,7 +724,7 @@
 	}
 	a := r.attempts[number]
 	d.now = max(d.now, now)
-	return d.maxAge(r), a.out && a.to.up && a.source.up
+	return d.maxAge(r), a.out && a.to.up && a.source.up && d.repeatable(r, a.to, a)
 }
 
 // ---- hints ----
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,7 @@
 	Ended    [control.Miss + 1]uint64
 	Withheld uint64 // attempts stopped right before they were written,
 	Held     uint64 // and of them those to machines that are out for work
+	Deserted uint64 // requests whose client was found to have left right before an attempt was written
 	Told     uint64 // messages to peers
 	Heard    uint64 // messages from peers
 	Purges   uint64
@@ -244,12 +245,19 @@
 }
 
 // Clear is asked right before an attempt is written: connecting or queueing took time, in which its store or
-// source may have begun to drain, the object may have been purged, or the deadline may have passed. It brings
-// the attempt up to date, or reports false once it has ended it as not sent.
+// source may have begun to drain, the object may have been purged, the client may have left, or the deadline may
+// have passed. It brings the attempt up to date, or reports false once it has ended it as not sent.
 func (g *Gateway) Clear(a *Attempt) bool {
 	if a.ended {
 		return false
 	}
+	// Guards against an attempt that begins for nobody: that its client has left, or cancelled, may be known to its
+	// connection, and wait for its turn on the loop.
+	if r := a.Request; !r.answered && r.There != nil && !r.There() {
+		g.Counters.Deserted++
+		g.Abandon(r)
+		return false
+	}
 	age, ok := g.directors[a.where].Recheck(g.now(), a.Request.id, a.number)
 	if p := g.cfg.Permit; p != nil && !(p(a.Server) && (a.Source == "" || p(a.Source))) {
 		ok = false
@@ -463,7 +471,7 @@
 
 // All returns the counters by name.
 func (c *Counters) All() map[string]uint64 {
-	all := map[string]uint64{"taken": c.Taken, "gone": c.Gone, "attempts": c.Attempts, "withheld": c.Withheld, "held_out": c.Held,
+	all := map[string]uint64{"taken": c.Taken, "gone": c.Gone, "attempts": c.Attempts, "withheld": c.Withheld, "held_out": c.Held, "deserted": c.Deserted,
 		"told": c.Told, "heard": c.Heard, "purges": c.Purges, "panics": c.Panics}
 	for i, n := range c.Answered {
 		all["answered_"+Outcome(i).String()] = n
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -137,7 +137,8 @@
 			l.now = time.Now()
 		}
 		more := false
-		for n := 0; l.low != nil && n < lowMost; n++ {
+		// Nor is low work done while timers are held: a request whose client left while the program stood still would begin.
+		for n := 0; l.low != nil && l.held.IsZero() && n < lowMost; n++ {
 			if l.posted.Load() && passed < passedMost { // it goes first
 				more = true
 				passed++
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -28,6 +28,7 @@
 	Retry    bool
 	Deadline time.Time // when the client stops waiting
 	Answer   func(Answer)
+	There    func() bool // whether the client still waits, asked right before each attempt is written; nil: until it is abandoned
 
 	Arrived  time.Time // when its last byte came; zero: as it is submitted
 	Front    Front
--- a/internal/net/agentcheck/agentcheck.go
+++ b/internal/net/agentcheck/agentcheck.go
@@ -63,7 +63,7 @@
 		c.Loop.After(time.Millisecond, func() { c.close(tc) })
 		return
 	}
-	tc.Close(errors.New("done"))
+	tc.End(errors.New("done"), transport.Linger)
 }
 
 // agent is one agent-check connection.
--- a/internal/net/msgpackrpc/front.go
+++ b/internal/net/msgpackrpc/front.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,9 @@
 	errorLost    = "Lost"    // failed
 )
 
+// errEnding ends connections with the program.
+var errEnding = errors.New("the program ends")
+
 // Front takes requests from the platform's clients.
 type Front struct {
 	loop    *gateway.Loop
@@ -37,6 +41,7 @@
 	log     logrus.FieldLogger
 	conns   map[*conn]bool
 	tenants *transport.Tenants
+	shut    bool // Shut was called
 
 	classes map[string]string // names, so that each is held once
 
@@ -70,6 +75,14 @@
 	return true
 }
 
+// Shut ends all connections, once nothing is in work on them: what comes on them from now on is not taken in.
+func (f *Front) Shut() {
+	f.shut = true
+	for c := range f.conns {
+		c.tc.End(errEnding, transport.Linger)
+	}
+}
+
 // MakeRoom has an idle connection closed, for one that waits to be accepted. It may be called from anywhere.
 func (f *Front) MakeRoom() { f.loop.Post(func() { f.tenants.MakeRoom(f.loop.Now(), 1) }) }
 
@@ -91,12 +104,52 @@
 	gone   bool
 	half   bool         // poller: a part of a message has come
 	asked  atomic.Int64 // requests that were shed, and the loop has not counted
+
+	cancels cancels // that were read, and that the loop has not taken in
+}
+
+// cancels are message ids, counted. The zero value has none.
+type cancels struct {
+	n   atomic.Int64
+	mu  sync.Mutex
+	ids map[uint64]int
+}
+
+func (c *cancels) add(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ids == nil {
+		c.ids = map[uint64]int{}
+	}
+	c.ids[id]++
+	c.n.Add(1)
+}
+
+func (c *cancels) done(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ids[id]--; c.ids[id] <= 0 {
+		delete(c.ids, id)
+	}
+	c.n.Add(-1)
+}
+
+// has says whether an id is among them; where there are none, which is nearly always, it costs one load.
+func (c *cancels) has(id uint64) bool {
+	if c.n.Load() == 0 {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ids[id] > 0
 }
 
 // OnOpened counts the connection among those that are swept, though it may never send a byte.
 func (c *conn) OnOpened(tc *transport.Conn) {
 	c.front.loop.Post(func() {
-		if !c.gone {
+		if c.front.shut { // it was accepted just before the end
+			tc.End(errEnding, transport.Linger)
+		} else if !c.gone {
 			c.tc = tc
 			c.tenant = c.front.tenants.Add(tc, c.front.loop.Now(), func() bool {
 				if n := c.asked.Swap(0); n > 0 && c.tenant != nil { // it is at work, though none of it is in work
@@ -162,7 +215,11 @@
 					}
 					continue
 				}
-				batch = append(batch, c.word(m, at))
+				w := c.word(m, at)
+				if w.kind == wordCancel {
+					c.cancels.add(w.id)
+				}
+				batch = append(batch, w)
 				held += messageCost + len(m.body)
 				bad = tc.Hold(messageCost + len(m.body))
 				continue
@@ -209,13 +266,15 @@
 }
 
 func (c *conn) take(tc *transport.Conn, batch []word, shed int, half bool, at time.Time) {
-	if c.gone {
+	// What was read before the end and comes after it belongs to nobody: its client asks elsewhere.
+	if c.gone || tc.Ended() {
 		return
 	}
 	c.tenant.Heard(c.front.loop.Now(), len(batch)+shed, half)
 	for _, w := range batch {
 		switch w.kind {
 		case wordCancel:
+			c.cancels.done(w.id)
 			if r := c.open[w.id]; r != nil {
 				delete(c.open, w.id)
 				c.front.gateway.Abandon(r)
@@ -241,7 +300,7 @@
 		return false
 	}
 	c.front.Malformed++
-	c.tc.Close(fmt.Errorf("message id %d is open already", id))
+	c.tc.End(fmt.Errorf("message id %d is open already", id), transport.Linger)
 	return true
 }
 
@@ -254,6 +313,7 @@
 	}
 	w.request.Client = c.client
 	w.request.Answer = func(a gateway.Answer) { c.answer(w.id, a) }
+	w.request.There = func() bool { return !c.tc.Ended() && !c.cancels.has(w.id) && !c.tc.Left() }
 	c.open[w.id] = w.request
 	c.front.gateway.Submit(w.request)
 }
--- a/internal/net/signedfront/front.go
+++ b/internal/net/signedfront/front.go
@@ -19,6 +19,9 @@
 	aheadMost = headMost + httpapi.BodyMost + 4 // bytes that may come ahead of an answer
 )
 
+// errEnding ends connections with the program.
+var errEnding = errors.New("the program ends")
+
 // Front takes signed requests over HTTP/1.1. One request of a connection is in work at a time; others that
 // have come wait for their turn, so that answers leave in order.
 type Front struct {
@@ -31,6 +34,7 @@
 	serial  uint64
 	seed    uint64
 	ending  bool
+	shut    bool // Shut was called
 
 	Admitted uint64
 	Problems map[string]uint64 // by reason
@@ -66,6 +70,14 @@
 	f.ending = true
 }
 
+// Shut ends all connections, once nothing is in work on them.
+func (f *Front) Shut() {
+	f.shut = true
+	for c := range f.conns {
+		c.tc.End(errEnding, transport.Linger)
+	}
+}
+
 // MakeRoom has an idle connection closed, for one that waits to be accepted. It may be called from anywhere.
 func (f *Front) MakeRoom() { f.loop.Post(func() { f.tenants.MakeRoom(f.loop.Now(), 1) }) }
 
@@ -101,7 +113,9 @@
 // OnOpened counts the connection among those that are swept, though it may never send a byte.
 func (c *conn) OnOpened(tc *transport.Conn) {
 	c.front.loop.Post(func() {
-		if !c.gone {
+		if c.front.shut { // it was accepted just before the end
+			tc.End(errEnding, transport.Linger)
+		} else if !c.gone {
 			c.tc = tc
 			c.tenant = c.front.tenants.Add(tc, c.front.loop.Now(), func() bool { return c.busy != nil || c.checks })
 			c.front.conns[c] = true
@@ -118,7 +132,7 @@
 	}
 	b = append([]byte(nil), b...)
 	if !c.front.loop.Post(func() { c.take(tc, b, at); tc.Release(len(b)) }) {
-		return errors.New("the program ends")
+		return errEnding
 	}
 	return nil
 }
@@ -140,13 +154,13 @@
 }
 
 func (c *conn) take(tc *transport.Conn, b []byte, at time.Time) {
-	if c.gone || c.last {
+	if c.gone || c.last || tc.Ended() {
 		return
 	}
 	c.at = at
 	if len(c.buf)+len(b) > aheadMost {
 		c.last = true
-		tc.Close(fmt.Errorf("more than %d bytes ahead of an answer", aheadMost))
+		tc.End(fmt.Errorf("more than %d bytes ahead of an answer", aheadMost), transport.Linger)
 		return
 	}
 	c.buf = append(c.buf, b...)
@@ -220,6 +234,7 @@
 	ad.Request.Ref = fmt.Sprintf("%016x", (f.seed^f.serial*0x9e3779b97f4a7c15)|1<<63)
 	c.busy = ad
 	ad.Request.Arrived, ad.Request.Front, ad.Request.Client, ad.Request.Admitted = at, gateway.Signed, c.client, true
+	ad.Request.There = func() bool { return !c.tc.Ended() && !c.tc.Left() }
 	ad.Request.Answer = func(a gateway.Answer) {
 		if c.busy != ad { // the client has left
 			return
@@ -269,7 +284,7 @@
 		return
 	}
 	if c.tc.Waiting() == 0 {
-		c.tc.Close(errors.New("done"))
+		c.tc.End(errors.New("done"), transport.Linger)
 		return
 	}
 	c.front.loop.After(5*time.Millisecond, c.flush)
--- a/internal/net/transport/tenants.go
+++ b/internal/net/transport/tenants.go
@@ -68,13 +68,13 @@
 			if half != nil {
 				half(n)
 			} else {
-				n.Conn.Close(errors.New("a message that does not end"))
+				n.Conn.End(errors.New("a message that does not end"), Linger)
 			}
 		case !n.idle():
 		case n.Asked == 0 && quiet > SpeakWithin:
-			n.Conn.Close(errors.New("it never spoke"))
+			n.Conn.End(errors.New("it never spoke"), Linger)
 		case quiet > idleMost:
-			n.Conn.Close(errors.New("idle"))
+			n.Conn.End(errors.New("idle"), Linger)
 		}
 	}
 }
@@ -103,6 +103,6 @@
 			return
 		}
 		t.Drop(longest) // it is on its way out
-		longest.Conn.Close(errors.New("its place is needed"))
+		longest.Conn.End(errors.New("its place is needed"), lingerLeast)
 	}
 }
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -14,6 +14,7 @@
 	"github.com/lesismal/nbio/logging"
 	pool "github.com/libp2p/go-buffer-pool"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -27,8 +28,16 @@
 	heldFair = 64 << 10 // and that each may hold however much all do
 
 	placeWithin = 100 * time.Millisecond // a connection beyond the most waits so long for a place
+
+	// What an ended connection may still hold its descriptor for. A message that crosses an end within 50 ms is sent
+	// anew by its client, so it is read and thrown away for longer than that.
+	Linger      = 500 * time.Millisecond
+	lingerLeast = 60 * time.Millisecond // where its place is needed
 )
 
+// errEnded is what a write on an ended connection gives.
+var errEnded = errors.New("the connection has ended")
+
 // Handler has the callbacks of one connection. All run on the engine's poller, one at a time, and must not
 // block. Bytes belong to the engine: they hold until OnBytes returns.
 type Handler interface {
@@ -44,14 +53,15 @@
 
 // Engine owns the connections of a program.
 type Engine struct {
-	log     logrus.FieldLogger
-	engine  *nbio.Engine
-	most    int64        // bytes that may wait to be written on all connections
-	waiting atomic.Int64 // bytes that do
-	held    atomic.Int64 // memory that all connections hold, half of most at the most
-	echo    echo
-	buffer  []byte     // the poller's, for reading
-	handing sync.Mutex // held while a connection is made, and taken before its parts are read
+	log       logrus.FieldLogger
+	engine    *nbio.Engine
+	most      int64        // bytes that may wait to be written on all connections
+	waiting   atomic.Int64 // bytes that do
+	held      atomic.Int64 // memory that all connections hold, half of most at the most
+	lingering atomic.Int64 // connections that have ended and are not closed
+	echo      echo
+	buffer    []byte     // the poller's, for reading
+	handing   sync.Mutex // held while a connection is made, and taken before its parts are read
 
 	Opened, Closed atomic.Uint64
 	Crowded        atomic.Uint64 // connections closed because there was no place
@@ -68,8 +78,11 @@
 	e.engine.OnWrittenSize(func(nc *nbio.Conn, _ []byte, n int) {
 		e.Out.Add(uint64(n))
 		if c := e.of(nc); c != nil {
-			c.waiting.Add(int64(-n))
+			left := c.waiting.Add(int64(-n))
 			e.waiting.Add(int64(-n))
+			if left <= 0 && c.ended.Load() {
+				c.shut()
+			}
 		}
 	})
 	e.engine.OnClose(func(nc *nbio.Conn, err error) {
@@ -78,8 +91,15 @@
 			return
 		}
 		e.Closed.Add(1)
+		c.gone.Store(true)
+		if c.ended.Load() {
+			e.lingering.Add(-1)
+		}
 		c.settle()
-		c.handler.OnClosed(c, err)
+		c.told(err)
+		if c.left != nil {
+			c.left()
+		}
 	})
 	if err := e.engine.Start(); err != nil {
 		return nil, fmt.Errorf("starting the poller: %w", err)
@@ -106,19 +126,23 @@
 	e.echo.close()
 }
 
-// read takes in what has come on a connection, and hands it to its handler.
+// read takes in what has come on a connection, and hands it to its handler. Of one whose other end has closed it takes
+// all: nbio closes it right after. Guards against a store that closes behind a long answer, whose end was thrown away.
 func (e *Engine) read(nc *nbio.Conn) {
 	c := e.of(nc)
 	if c == nil {
 		e.echo.heard()
 		return
 	}
-	for range readsMost {
+	for i := 0; i < readsMost || c.Left(); i++ {
 		n, err := nc.Read(e.buffer)
 		if n > 0 {
 			e.In.Add(uint64(n))
+			if c.ended.Load() { // what crosses the end is thrown away
+				continue
+			}
 			if err := c.handler.OnBytes(c, e.buffer[:n], time.Now()); err != nil {
-				_ = nc.CloseWithError(err)
+				c.End(err, Linger)
 				return
 			}
 		}
@@ -143,8 +167,64 @@
 	handler Handler
 	waiting atomic.Int64
 	held    atomic.Int64
+
+	ended  atomic.Bool // by this side: nothing more is taken in or written
+	gone   atomic.Bool // it is closed
+	closed sync.Once   // OnClosed has been called
+	left   func()      // to be called once it holds no descriptor any more; nil: nobody waits for that
+}
+
+// told tells the handler, once, that the connection is over.
+func (c *Conn) told(err error) { c.closed.Do(func() { c.handler.OnClosed(c, err) }) }
+
+// Left says whether the other end has closed the connection, by the kernel's word at this moment: what has come before
+// that may not have been read yet.
+func (c *Conn) Left() bool {
+	if c.gone.Load() {
+		return true
+	}
+	left := false
+	c.nc.Lock() // its descriptor stays its own meanwhile
+	if closed, _ := c.nc.IsClosed(); closed {
+		left = true
+	} else {
+		fds := [1]unix.PollFd{{Fd: int32(c.nc.Hash()), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds[:], 0)
+		left = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	}
+	c.nc.Unlock()
+	return left
 }
 
+// End ends the connection for its handler, which is told so at once, and lets its other end take all that was written:
+// the sending side is shut behind that, what still comes is thrown away, and the descriptor is given back once the
+// other end has closed, too, or after linger. Guards against the reset that a close over unread bytes sends, which
+// takes answers away that had not been read.
+func (c *Conn) End(err error, linger time.Duration) {
+	c.nc.Lock()
+	closed, _ := c.nc.IsClosed()
+	if closed || c.ended.Swap(true) {
+		c.nc.Unlock()
+		return
+	}
+	c.engine.lingering.Add(1)
+	if c.waiting.Load() <= 0 {
+		c.shut()
+	}
+	c.nc.Unlock()
+	c.told(err)
+	time.AfterFunc(linger, func() { c.Close(err) })
+}
+
+// Lingering is the number of connections that have ended, and whose other ends have not closed yet.
+func (e *Engine) Lingering() int64 { return e.lingering.Load() }
+
+// Ended says whether End was called.
+func (c *Conn) Ended() bool { return c.ended.Load() }
+
+// shut closes the sending side. nbio's lock is held: the descriptor is the connection's own.
+func (c *Conn) shut() { _ = unix.Shutdown(c.nc.Hash(), unix.SHUT_WR) }
+
 // Hold notes memory that what has come on the connection takes until the loop has dealt with it, and Release that it
 // has. An error says that this is too much. Guards against clients that send at full speed what is quicker to read
 // than to answer: it would pile up between the poller and the loop.
@@ -169,6 +249,9 @@
 // Write sends the pieces in order, and never blocks. It keeps nothing of them. If more waits than the
 // engine holds, the connection is closed: its other end does not read.
 func (c *Conn) Write(pieces ...[]byte) error {
+	if c.ended.Load() {
+		return errEnded
+	}
 	total := 0
 	for _, p := range pieces {
 		total += len(p)
@@ -268,7 +351,7 @@
 				continue
 			}
 			h := handler()
-			c := e.wrap(nc, &counted{Handler: h, places: places})
+			c := e.wrap(nc, h, func() { <-places })
 			if o, ok := h.(Opener); ok {
 				o.OnOpened(c)
 			}
@@ -281,17 +364,6 @@
 	return &Listener{l: l}, nil
 }
 
-// counted gives a listener's place back when its connection ends.
-type counted struct {
-	Handler
-	places chan struct{}
-}
-
-func (h *counted) OnClosed(c *Conn, err error) {
-	<-h.places
-	h.Handler.OnClosed(c, err)
-}
-
 // Addr is the address that is listened on.
 func (l *Listener) Addr() net.Addr { return l.l.Addr() }
 
@@ -307,11 +379,11 @@
 	return c
 }
 
-// wrap makes a Conn, and add has the poller read it.
-func (e *Engine) wrap(nc *nbio.Conn, h Handler) *Conn {
+// wrap makes a Conn, and add has the poller read it. left is called once it has given its descriptor back.
+func (e *Engine) wrap(nc *nbio.Conn, h Handler, left func()) *Conn {
 	e.handing.Lock()
 	defer e.handing.Unlock()
-	c := &Conn{Remote: nc.RemoteAddr().String(), engine: e, nc: nc, handler: h}
+	c := &Conn{Remote: nc.RemoteAddr().String(), engine: e, nc: nc, handler: h, left: left}
 	nc.SetSession(c)
 	_ = nc.SetNoDelay(true)
 	e.Opened.Add(1)
@@ -343,7 +415,7 @@
 			failed(fmt.Errorf("taking over the connection to %s: %w", addr, err))
 			return
 		}
-		c := e.wrap(nc, h)
+		c := e.wrap(nc, h, nil)
 		e.add(c) // it cannot be written before
 		opened(c)
 	}()
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -73,6 +73,7 @@
 	ad.Request.Arrived, ad.Request.Front, ad.Request.Keeps = time.Now(), gateway.Host, true
 	answer := make(chan gateway.Answer, 1)
 	ad.Request.Answer = func(a gateway.Answer) { answer <- a }
+	ad.Request.There = func() bool { return r.Context().Err() == nil }
 	if !m.Loop.Post(func() { m.Gateway.Submit(ad.Request) }) {
 		answer <- gateway.Answer{Outcome: gateway.Refused, RetryAfter: time.Second, Harmless: true}
 	}
