An answer that does not end gives its connection up; what floods behind an end is closed

A client that goes on sending behind the end of its connection is closed after 1 MB. Connections that cannot be taken over are closed at once, not by the collector.

--- a/cmd/larchusher/serve.go
+++ b/cmd/larchusher/serve.go
@@ -104,7 +104,7 @@
 	share := p.shares()
 	p.pool = resp.New(resp.Config{Streams: cfg.Sockets.StreamsPerConn, ConnectTimeout: cfg.Sockets.ConnectTimeout,
 		KeepAlive: cfg.Sockets.KeepAlive, Conns: share.Stores, LoadFields: cfg.Settings.LoadFields,
-		Answers: int64(cfg.Limits.MemoryMB) << 20 / 8}, p.loop, p.engine, p.log)
+		Answers: int64(cfg.Limits.MemoryMB) << 20 / 8, Whole: p.longest()}, p.loop, p.engine, p.log)
 	gc := gateway.Config{Loop: p.loop, Settings: cfg.Settings, Seed: cfg.Seed, Backend: p.pool, Log: p.log,
 		ToldKB: cfg.ToldKB, MaxOpen: cfg.Sockets.MostHeld, MaxBytes: cfg.Limits.MemoryMB << 20 / 6,
 		Overload: op.Overload, Echo: p.engine.Echo}
@@ -350,14 +350,19 @@
 		if p.signed != nil {
 			p.signed.End()
 		}
-		longest := leastDeadline
-		for _, c := range p.cfg.Settings.Classes {
-			longest = max(longest, c.Deadline)
-		}
-		p.finish(began.Add(longest + lastAnswers))
+		p.finish(began.Add(p.longest() + lastAnswers))
 	})
 }
 
+// longest is how long any client may wait, and 3 s at the least.
+func (p *program) longest() time.Duration {
+	longest := leastDeadline
+	for _, c := range p.cfg.Settings.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return longest
+}
+
 // finish ends the program once nothing is open any more, or at the last moment with an answer to what is.
 func (p *program) finish(last time.Time) {
 	now := p.loop.Now()
--- a/internal/net/resp/pool.go
+++ b/internal/net/resp/pool.go
@@ -37,7 +37,8 @@
 	KeepAlive      time.Duration
 	Conns          int // connections held at once
 	LoadFields     []string
-	Answers        int64 // bytes of answers that may be held until their clients have been written to; 0: any
+	Answers        int64         // bytes of answers that may be held until their clients have been written to; 0: any
+	Whole          time.Duration // an answer that has begun comes whole within this, or its connection is given up; 0: it may take any time
 }
 
 // Counters count what went on with stores.
@@ -150,7 +151,8 @@
 	open    map[string]*gateway.Attempt
 	quit    map[string]time.Time // ids that were given up here: a late answer must not be taken for another's
 	heard   time.Time            // latest byte, or since when work is out
-	within  bool                 // an answer has begun to come
+	within  bool                 // an answer has begun to come,
+	begun   time.Time            // since then
 	used    time.Time
 	test    string // tag of the test that is out
 	tested  time.Time
@@ -361,6 +363,9 @@
 	}
 	within := c.parser.within()
 	c.pool.loop.Post(func() {
+		if within && (!c.within || len(batch) > 0) {
+			c.begun = at
+		}
 		c.heard, c.within = at, within
 		for i, args := range batch {
 			bad := c.answer(args, at)
@@ -564,6 +569,9 @@
 			switch {
 			case c.within && now.Sub(c.heard) > stall:
 				c.end(errors.New("an answer stops short"))
+			// Guards the requests that share the connection: they wait behind an answer that comes a byte at a time, for ever.
+			case c.within && p.cfg.Whole > 0 && now.Sub(c.begun) > p.cfg.Whole:
+				c.end(errors.New("an answer does not end"))
 			case c.test != "" && c.heard.After(c.tested): // any byte will do
 				c.test = ""
 			case c.test != "" && now.Sub(c.tested) > testFor:
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -32,11 +32,14 @@
 	// What an ended connection may still hold its descriptor for. A message that crosses an end within 50 ms is sent
 	// anew by its client, so it is read and thrown away for longer than that.
 	Linger      = 500 * time.Millisecond
-	lingerLeast = 60 * time.Millisecond // where its place is needed
+	lingerLeast = 60 * time.Millisecond // where its place is needed, or what it sent was at fault
+	thrownMost  = 1 << 20               // bytes that are thrown away meanwhile: one that floods is closed
 )
 
-// errEnded is what a write on an ended connection gives.
-var errEnded = errors.New("the connection has ended")
+var (
+	errEnded = errors.New("the connection has ended") // of a write
+	errFlood = errors.New("it goes on sending behind the end")
+)
 
 // Handler has the callbacks of one connection. All run on the engine's poller, one at a time, and must not
 // block. Bytes belong to the engine: they hold until OnBytes returns.
@@ -139,10 +142,14 @@
 		if n > 0 {
 			e.In.Add(uint64(n))
 			if c.ended.Load() { // what crosses the end is thrown away
+				if c.thrown += n; c.thrown > thrownMost {
+					c.Close(errFlood)
+					return
+				}
 				continue
 			}
 			if err := c.handler.OnBytes(c, e.buffer[:n], time.Now()); err != nil {
-				c.End(err, Linger)
+				c.End(err, lingerLeast)
 				return
 			}
 		}
@@ -171,6 +178,7 @@
 	ended  atomic.Bool // by this side: nothing more is taken in or written
 	gone   atomic.Bool // it is closed
 	closed sync.Once   // OnClosed has been called
+	thrown int         // poller: bytes that came after that
 	left   func()      // to be called once it holds no descriptor any more; nil: nobody waits for that
 }
 
@@ -346,6 +354,7 @@
 			boundUnsent(conn)
 			nc, err := nbio.NBConn(conn)
 			if err != nil {
+				_ = conn.Close()
 				<-places
 				e.log.WithError(err).Warn("taking a connection over")
 				continue
@@ -412,6 +421,7 @@
 		}
 		nc, err := nbio.NBConn(conn)
 		if err != nil {
+			_ = conn.Close()
 			failed(fmt.Errorf("taking over the connection to %s: %w", addr, err))
 			return
 		}
--- a/test/crossing_test.go
+++ b/test/crossing_test.go
@@ -53,7 +53,7 @@
 	if in.engine, err = transport.New(log, 48<<20); err != nil {
 		t.Fatal(err)
 	}
-	in.pool = resp.New(resp.Config{Streams: 32, ConnectTimeout: patience, KeepAlive: time.Minute, Conns: 100}, in.loop, in.engine, log)
+	in.pool = resp.New(resp.Config{Streams: 32, ConnectTimeout: patience, KeepAlive: time.Minute, Conns: 100, Whole: time.Second}, in.loop, in.engine, log)
 	if in.gw, err = gateway.New(gateway.Config{Loop: in.loop, Settings: settings, Backend: in.pool, Log: log, Echo: in.engine.Echo}); err != nil {
 		t.Fatal(err)
 	}
@@ -79,7 +79,7 @@
 	t.Cleanup(func() {
 		l.Close()
 		in.loop.Close()
-		in.engine.Stop()
+		go in.engine.Stop() // it waits for stores that are coming up, which close after this
 	})
 	return in
 }
@@ -154,7 +154,7 @@
 // lateStore is a store whose connections come up only once it is let: its queue of connections is full.
 type lateStore struct {
 	addr string
-	fd   int
+	file *os.File // owns the listening socket
 	fill []net.Conn
 	asks chan []string // what was asked, on any connection
 	ups  chan bool     // connections of the gateway that came up
@@ -176,7 +176,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &lateStore{addr: fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port), fd: fd,
+	s := &lateStore{addr: fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port), file: os.NewFile(uintptr(fd), "late"),
 		asks: make(chan []string, 100), ups: make(chan bool, 100)}
 	for { // until one does not come up
 		c, err := net.DialTimeout("tcp", s.addr, 200*time.Millisecond)
@@ -186,8 +186,7 @@
 		s.fill = append(s.fill, c)
 	}
 	t.Cleanup(func() {
-		_ = syscall.Shutdown(fd, syscall.SHUT_RDWR)
-		_ = syscall.Close(fd)
+		s.file.Close()
 		for _, c := range s.fill {
 			c.Close()
 		}
@@ -198,8 +197,7 @@
 // release lets connections come up: the kernel asks again for one that waits, a second after it first did, or three.
 func (s *lateStore) release(t *testing.T) {
 	t.Helper()
-	file := os.NewFile(uintptr(s.fd), "late")
-	l, err := net.FileListener(file)
+	l, err := net.FileListener(s.file)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -444,6 +442,39 @@
 	}
 }
 
+// An answer that comes a byte at a time and does not end holds up what shares its connection no longer than an answer
+// may take: that went on for as long as the bytes came.
+func TestAnAnswerThatDoesNotEndIsLeft(t *testing.T) {
+	in := newInside(t, nil)
+	end, ended := make(chan bool), make(chan bool)
+	defer close(end)
+	slow := func(a *ask) {
+		_, _ = io.WriteString(a.Conn, fmt.Sprintf("*4\r\n$%d\r\n%s\r\n$4\r\nDONE\r\n$1\r\n-\r\n$200000\r\n", len(a.ID), a.ID))
+		go func() {
+			for {
+				select {
+				case <-end:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				if _, err := a.Conn.Write([]byte("x")); err != nil {
+					close(ended)
+					return
+				}
+			}
+		}()
+	}
+	in.rig.on(slow)
+	c := in.client()
+	c.send("films", object, 5*time.Second, "")
+	eventually(t, "it is asked for", func() bool { return len(in.asks(object)) == 1 })
+	in.rig.on(done)
+	next(t, ended)
+	if a := c.next(); a.err != "" || a.body != content(object, "3") {
+		t.Errorf("%+v", a)
+	}
+}
+
 // cancel gives a request up.
 func (c *client) cancel(id int) {
 	c.t.Helper()
