--- a/coldstart/fleet_test.go
+++ b/coldstart/fleet_test.go
@@ -17,6 +17,7 @@
 	known    bool    // what warm ones carry is known to each; else the floor alone holds
 	restarts int     // senders that end each second, come back at once, and know nothing
 	surge    float64 // by which the demand grows, from two seconds on
+	quiet    bool    // there is none before
 	spread   time.Duration
 }
 
@@ -39,6 +40,8 @@
 		want := each
 		if f.surge > 0 && now >= start+2*time.Second {
 			want *= f.surge
+		} else if f.quiet {
+			want = 0
 		}
 		for range f.restarts {
 			if rng.Float64() < step.Seconds() {
@@ -85,20 +88,21 @@
 	base := Ramp{From: 0.15, For: 17 * time.Second, Multiple: 2.5, Within: 2 * time.Second}
 	short := Ramp{From: 0.2, For: 12 * time.Second, Multiple: 2, Within: time.Second}
 	for name, f := range map[string]fleet{
-		"thirty":                         {base, 30, 30, 6, 0.6, true, 0, 0, 300 * time.Millisecond},
-		"thirty, a start told at once":   {base, 30, 30, 6, 0.6, true, 0, 0, 0},
-		"thirty, a short window":         {short, 30, 30, 6, 0.6, true, 0, 0, 0},
-		"a hundred, a short window":      {short, 100, 100, 10, 0.6, true, 0, 0, 0},
-		"four":                           {base, 4, 4, 6, 0.9, true, 0, 0, 0},
-		"four, a short window":           {short, 4, 4, 12, 0.9, true, 0, 0, 0},
-		"thirty that know nothing":       {base, 30, 30, 2, 0.9, false, 0, 0, 0},
-		"three hundred, a floor each":    {base, 300, 300, 2, 0.9, false, 0, 0, 0},
-		"thirty, their number untold":    {base, 30, 0, 2, 0.9, false, 0, 0, 0},
-		"a hundred, their number untold": {short, 100, 0, 2, 0.9, false, 0, 0, 0},
-		"thirty that restart":            {base, 30, 30, 6, 0.6, true, 10, 0, 0},
-		"thirty that restart, untold":    {base, 30, 0, 3, 0.6, true, 10, 0, 0},
-		"a burst of twice the traffic":   {base, 30, 30, 6, 0.6, true, 0, 2, 0},
-		"a hundred, and a burst":         {base, 100, 100, 8, 0.6, true, 5, 1.5, 0},
+		"thirty":                          {base, 30, 30, 6, 0.6, true, 0, 0, false, 300 * time.Millisecond},
+		"thirty, a start told at once":    {base, 30, 30, 6, 0.6, true, 0, 0, false, 0},
+		"thirty, a short window":          {short, 30, 30, 6, 0.6, true, 0, 0, false, 0},
+		"a hundred, a short window":       {short, 100, 100, 10, 0.6, true, 0, 0, false, 0},
+		"four":                            {base, 4, 4, 6, 0.9, true, 0, 0, false, 0},
+		"four, a short window":            {short, 4, 4, 12, 0.9, true, 0, 0, false, 0},
+		"thirty that know nothing":        {base, 30, 30, 2, 0.9, false, 0, 0, false, 0},
+		"three hundred, a floor each":     {base, 300, 300, 2, 0.9, false, 0, 0, false, 0},
+		"thirty, their number untold":     {base, 30, 0, 2, 0.9, false, 0, 0, false, 0},
+		"a hundred, their number untold":  {short, 100, 0, 2, 0.9, false, 0, 0, false, 0},
+		"thirty that restart":             {base, 30, 30, 6, 0.6, true, 10, 0, false, 0},
+		"thirty that restart, untold":     {base, 30, 0, 3, 0.6, true, 10, 0, false, 0},
+		"a burst of twice the traffic":    {base, 30, 30, 6, 0.6, true, 0, 2, false, 0},
+		"four, quiet and then in a burst": {short, 4, 4, 22, 1, true, 0, 10, true, 0},
+		"a hundred, and a burst":          {base, 100, 100, 8, 0.6, true, 5, 1.5, false, 0},
 	} {
 		broken := 0
 		var sent, allowed float64
--- a/test/crossing_test.go
+++ b/test/crossing_test.go
@@ -14,7 +14,9 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 
+	"larchusher/control"
 	"larchusher/gateway"
 	netjournal "larchusher/internal/net/journal"
 	"larchusher/internal/net/msgpackrpc"
@@ -663,6 +665,52 @@
 	}
 }
 
+// The same with an event that has been read, and that the loop comes to behind the move: the old journal's word is
+// nobody's, though its connection was still open as it came.
+func TestWhatAnOldJournalSaidIsPassedOver(t *testing.T) {
+	j, other := newRawJournal(t), newRawJournal(t)
+	in := newInside(t, nil)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	heard := &purgeSink{}
+	book := &netjournal.Book{Sink: heard, Clock: in.gw.Clock}
+	if err := book.Start(time.Now(), netjournal.Known{Pos: 1}); err != nil {
+		t.Fatal(err)
+	}
+	var feed *netjournal.Client
+	in.on(func() { feed = netjournal.Follow(in.loop, in.engine, log, j.addr, book, 1) })
+	s := next(t, j.conns)
+	event := func(pos, set int) string {
+		return fmt.Sprintf("id: %d\ndata: {\"pos\":%d,\"expire\":{\"set\":%d,\"stamp\":1}}\n\n", pos, pos, set)
+	}
+	s.say(t, streamHead+event(2, 1))
+	eventually(t, "the first is heard", func() bool { return in.count(func() uint64 { return feed.Events }) == 1 })
+	free := in.holdLoop()
+	in.loop.Post(func() { feed.Move(other.addr) })
+	s.say(t, event(3, 2))
+	in.read()
+	free()
+	moved := next(t, other.conns)
+	if moved.after != "2" {
+		t.Errorf("it begins after %q", moved.after)
+	}
+	moved.say(t, streamHead+event(3, 3))
+	eventually(t, "the new one is heard", func() bool { return in.count(func() uint64 { return feed.Events }) >= 2 })
+	in.on(func() {
+		if len(heard.sets) != 2 || heard.sets[1] != 3 {
+			t.Errorf("purges heard: %v", heard.sets)
+		}
+	})
+}
+
+// purgeSink takes in what a journal tells; it lives on the loop.
+type purgeSink struct{ sets []int }
+
+func (*purgeSink) Members(control.Members)     {}
+func (p *purgeSink) Purge(x control.Purge)     { p.sets = append(p.sets, x.Group) }
+func (*purgeSink) Place(string, string, int64) {}
+func (*purgeSink) Remove(string)               {}
+
 // SIGTERM and a request come in the same moment, to a program that stands still: the request may be read before or
 // after. It is answered, and the program ends with status 0.
 func TestTermInTheMomentOfARequest(t *testing.T) {
@@ -733,6 +781,42 @@
 	}
 }
 
+// A reload that hangs on its file, with more SIGHUPs behind it than are kept: SIGTERM is minded all the same. All shared
+// four places, and one function.
+func TestTermWhileAReloadHangs(t *testing.T) {
+	r := newRig(t).start()
+	held := make(chan *ask, 10)
+	r.on(func(a *ask) { held <- a })
+	c := r.client()
+	c.send("films", object, 5*time.Second, "")
+	a := next(t, held)
+	if err := os.Remove(r.path); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(r.path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.signal(syscall.SIGHUP)
+	pipe, err := os.OpenFile(r.path, os.O_WRONLY, 0) // it opens once the program reads it, and nothing is written
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer pipe.Close()
+	for range 20 {
+		r.signal(syscall.SIGHUP)
+		time.Sleep(time.Millisecond) // else the kernel makes them one
+	}
+	r.signal(syscall.SIGTERM)
+	r.logged("msg=draining")
+	done(a)
+	if got := c.next(); got.err != "" {
+		t.Errorf("%+v", got)
+	}
+	if err := next(t, r.exited); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+}
+
 // A client at rest, until the gateway ends: it sees the end of the connection and no reset, though it sends right then;
 // what it sends is not sent on.
 func TestARestingClientSeesTheEnd(t *testing.T) {
@@ -792,6 +876,10 @@
 	r := newRig(t)
 	r.config["limits"] = map[string]any{"cores": 1, "memory_mb": 192, "sockets": 64}
 	r.start()
+	most := unix.Rlimit{Cur: 64, Max: 64}
+	if err := unix.Prlimit(r.cmd.Process.Pid, unix.RLIMIT_NOFILE, &most, nil); err != nil {
+		t.Fatal(err)
+	}
 	r.journal.Close()
 	for range 100 {
 		r.client()
