--- a/test/crossing_test.go
+++ b/test/crossing_test.go
@@ -756,8 +756,9 @@
 	}
 	r.signal(syscall.SIGTERM)
 	r.signal(syscall.SIGHUP)
-	r.signal(syscall.SIGTERM)
 	r.logged("msg=draining")
+	r.signal(syscall.SIGTERM)
+	r.signal(syscall.SIGHUP)
 	if _, err := io.WriteString(half.Conn, whole[len(whole)/2:]); err != nil {
 		t.Fatal(err)
 	}
