--- a/test/crossing_test.go
+++ b/test/crossing_test.go
@@ -393,6 +393,37 @@
 	}
 }
 
+// A client that sends much at once and goes: it has left before the first of it is read. None of it is sent on, and
+// nothing is kept for it.
+func TestAFloodFromOneThatGoesIsNotSentOn(t *testing.T) {
+	in := newInside(t, nil)
+	in.warm()
+	before := in.count(func() uint64 { return in.pool.Counters.Written })
+	free := in.holdPoller()
+	defer free()
+	c := in.client()
+	eventually(t, "it is accepted", func() bool { return in.engine.Opened.Load() >= 4 }) // two stores, the client of warm, this one
+	var all []byte
+	for i := range 500 {
+		c.txn++
+		all = append(all, c.request("films", fmt.Sprintf("%016x", i), 5*time.Second, "")...)
+	}
+	c.raw(all)
+	c.conn.Close()
+	free()
+	eventually(t, "it has left", func() bool { return in.engine.Opened.Load()-in.engine.Closed.Load() == 2 })
+	in.read()
+	eventually(t, "nothing is open", func() bool { return in.count(func() uint64 { return uint64(in.gw.Open()) }) == 0 })
+	if n := in.count(func() uint64 { return in.pool.Counters.Written }) - before; n != 0 {
+		t.Errorf("%d attempts were written for nobody", n)
+	}
+	in.on(func() {
+		if !in.front.Idle() {
+			t.Error("something is kept for it")
+		}
+	})
+}
+
 // A request with the id of one that is open, from another client: to stores they would be one request with two attempts
 // out. It is failed and not sent on; both were, 136 times in a short day of bad clients. One whose client has left and
 // asks anew, before the loop knows that, is served.
