--- a/control/control.go
+++ b/control/control.go
@@ -632,7 +632,7 @@
 	return nil
 }
 
-// repeatable says whether the effect rule lets this attempt go to s now, whatever comes of one that is not written.
+// repeatable says whether the effect rule lets an attempt go to s now, one that is not written left aside.
 func (d *Director) repeatable(r *request, s *server, but *attempt) bool {
 	first := r.mayHaveRun(but)
 	if r.class.Effect == Safe || first == nil {
@@ -715,7 +715,7 @@
 func (d *Director) did(r *request) float64 { return min(d.cost(r), r.work.Seconds()) }
 
 // Recheck says whether an attempt that waited, for its connection say, may still be written at the given
-// time, and with which age limit: its store or source may drain by now, the time in which repeats of its request are
+// time, and with which age limit: its store or source may drain by now, the time in which repeats are
 // dropped may have passed, or its object may have been purged.
 func (d *Director) Recheck(now time.Duration, id string, number int) (maxAge time.Duration, ok bool) {
 	r := d.requests[id]
