--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"bytes"
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -234,20 +233,37 @@
 	return err
 }
 
-// Free returns an address that nobody listens at.
+// Free returns an address that nobody listens at, at a loopback address of this process's own.
 func Free() (string, error) { return FreeAt("") }
 
+// given are the addresses that FreeAt has returned.
+var given sync.Map
+
 // FreeAt is Free at a loopback address of one's own, such as 127.77.0.1: the system gives its ports to nobody else meanwhile, as it
-// does with those of 127.0.0.1 to connections that go out. An empty one is 127.0.0.1.
+// does with those of 127.0.0.1 to connections that go out. An empty one is one of this process's own. No address is returned twice:
+// between the return and the listening the system takes its port for free, and has named the same one again to another that asked.
 func FreeAt(host string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(cmp.Or(host, "127.0.0.1"), "0"))
-	if err != nil {
-		return "", err
+	if host == "" {
+		host = fmt.Sprintf("127.%d.%d.250", 64+os.Getpid()%100, os.Getpid()/100%250)
+	}
+	for range freeTries {
+		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+		if err != nil {
+			return "", fmt.Errorf("world: %w", err)
+		}
+		addr := l.Addr().String()
+		if err := l.Close(); err != nil {
+			return "", fmt.Errorf("world: %w", err)
+		}
+		if _, again := given.LoadOrStore(addr, true); !again {
+			return addr, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("world: no port of %s is left that was not given out", host)
 }
 
+const freeTries = 1000
+
 // Logged waits until the program's log has a line with the text, and returns it.
 func (w *World) Logged(ctx context.Context, text string) (string, error) {
 	for {
--- a/test/rig_test.go
+++ b/test/rig_test.go
@@ -191,12 +191,12 @@
 }
 
 func free(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	addr, err := world.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return addr
 }
 
 // The stand-ins are those of the workshop.
