Cold stores: parts of a sending are rounded by a draw, so that no fleet overdraws by one each

Cause: coldstart.Allows let a sender overdraw by one (b.left >= 0), and each stood at no debt; luck spread the first sending alone. Ruled out: the floor (one among 24), the saved-up budget (a ninth of the window; 0.9 + 0.1 of N). Change: a sender keeps to its part of N in a sliding window, and a part of a sending is rounded by the sender's place in an order that is even over numbers, other at each store, and moves on by one sender a window. The window's share of the capacity is that of its middle. What the store does for a sender counts only by what is over chance in it. A seed that is not told is drawn (it was 0 for all); a position that is not told is no number.

--- a/coldstart/coldstart.go
+++ b/coldstart/coldstart.go
@@ -1,13 +1,21 @@
 // Package coldstart bounds what is sent to a store that has just started. Sent more than a multiple of what it can do at
 // that moment, for long enough, it falls over. It does no I/O and reads no clock.
+//
+// Many senders share such a store and do not speak with each other, so each keeps to its own part, and the parts add up to
+// what the store bears. A part is seldom a whole sending: of a tenth of one, each sender for itself can only make none or one.
+// It makes one with the chance of a tenth (randomized rounding), so that all together make as many as their parts say, whatever
+// each of them wants and when.
 package coldstart
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	margin = 0.9          // share of what it can take that is spent: those who send differ in size
-	saved  = 1/margin - 1 // of Within, for which as much may be saved up: spent at once, it still fits the window
-	untold = 100          // senders that are reckoned with where their number is not told
+	margin = 0.9 // share of what it can take that is spent: those who send differ in size
+	untold = 100 // senders that are reckoned with where their number is not told
+	golden = 0.6180339887498949
 )
 
 // Ramp says how a store warms up.
@@ -27,32 +35,89 @@
 	return r.From + (1-r.From)*max(0, float64(now-start)/float64(r.For))
 }
 
-// Budget is what one sender may spend on a cold store. The zero value is for a store that nothing was sent to.
-type Budget struct {
-	left float64 // in the unit of cost
+// Sender says who sends, among whom.
+type Sender struct {
+	Among    float64       // senders to the store; 0: not told
+	Place    float64       // in the order of senders, between 0 and 1: see [Place]
+	Can      float64       // cost a second that warm stores of this one's size carry for it; 0: nothing is known
+	Does     float64       // and that this one was seen to do for it lately,
+	DoesOver time.Duration // within about this time
+}
+
+// Place spreads senders evenly between 0 and 1 by their numbers, in another order at each store. Where numbers are not told,
+// a place that each draws for itself serves as well on average.
+func Place(number int, store uint64) float64 {
+	_, f := math.Modf(float64(number)*golden + float64(store>>11)/(1<<53))
+	return f
+}
+
+// Budget is what one sender has sent to a cold store within the time in which it falls over. The zero value is for a store that
+// nothing was sent to.
+type Budget struct{ sent []spending }
+
+type spending struct {
 	at   time.Duration
+	cost float64
 }
 
-// Spend takes the cost of something sent off the budget, or gives it back where it is less than 0.
-func (b *Budget) Spend(cost float64) { b.left -= cost }
+// Spend notes that something of a cost is sent to a store that started at a time.
+func (r Ramp) Spend(b *Budget, now, start time.Duration, cost float64) {
+	if r.Share(now, start) >= 1 { // guards the memory: to a warm one much is sent
+		b.sent = nil
+		return
+	}
+	b.spent(now, r.Within)
+	b.sent = append(b.sent, spending{now, cost})
+}
 
-// Allows says whether something of a cost may be sent to a store that started at a time and has a share of its capacity.
-// Can is the cost a second that is known to be within what it has at full capacity, by what warm ones of its size do for
-// this sender, and does what it was seen to do now. All senders together stay within the multiple if each keeps to that
-// multiple of what is done for it; one that knows nothing has its part, one in among, of a floor of one sending in Within.
-// Where among is not known (0), it is one of many: guards against each of a whole fleet taking the floor for its own.
-// The budget may be overdrawn by one sending, so that no floor of a whole one adds up over senders. Luck, between 0 and 1,
-// spreads the first sendings: many learn of a start at once.
-func (r Ramp) Allows(b *Budget, now, start time.Duration, cost, can, does, among float64, luck func() float64) bool {
-	rate := r.Multiple * margin * max(can*r.Share(now, start), does)
-	if among <= 0 {
+// Refund takes back the latest spending of a cost, which did not come to the store.
+func (b *Budget) Refund(cost float64) {
+	for i := len(b.sent) - 1; i >= 0; i-- {
+		if b.sent[i].cost == cost {
+			b.sent = append(b.sent[:i], b.sent[i+1:]...)
+			return
+		}
+	}
+}
+
+// spent sums up what was sent within a time, and forgets what was before.
+func (b *Budget) spent(now, within time.Duration) (sum float64) {
+	old := 0
+	for _, s := range b.sent {
+		if now-s.at >= within {
+			old++
+			continue
+		}
+		sum += s.cost
+	}
+	b.sent = append(b.sent[:0], b.sent[old:]...)
+	return sum
+}
+
+// Allows says whether something of a cost may be sent to a store that started at a time.
+//
+// The store bears the multiple of what it has, for the time in which it falls. What it has of its full capacity is known by its
+// age, and its full capacity by what warm ones carry for this sender, which is the sender's part: the parts of all add up. A
+// sender that knows nothing has its part of a floor of one sending. The store's own doing counts where it is more.
+func (r Ramp) Allows(b *Budget, now, start time.Duration, cost float64, s Sender) bool {
+	if r.Within <= 0 { // it bears anything
+		return true
+	}
+	among := s.Among
+	if among <= 0 { // guards against each of a whole fleet taking the floor for its own
 		among = untold
 	}
-	rate = max(rate, cost/max(1, r.Within.Seconds())/max(1, among))
-	if b.at < start {
-		b.left, b.at = -cost*luck(), now
+	// The window that ends now has brought what the store had in its middle, as it warms up in a line.
+	rate := s.Can * r.Share(now-r.Within/2, start)
+	if s.Can <= 0 {
+		rate = s.Does
+	} else if s.Does > rate {
+		// Guards against luck with a few: what some did beyond their part others did not, who go by warm ones.
+		rate = max(rate, s.Does-math.Sqrt(s.Does*cost/s.DoesOver.Seconds()))
 	}
-	b.left = min(rate*saved*r.Within.Seconds(), b.left+rate*(now-b.at).Seconds())
-	b.at = now
-	return b.left >= 0
+	within := r.Within.Seconds()
+	part := within * max(r.Multiple*margin*rate, cost/max(1, within)/max(1, among))
+	// The order moves on by one sender in each window, so that none is shut out for the whole ramp.
+	_, place := math.Modf(s.Place + float64(now)/float64(r.Within)/max(1, among))
+	return b.spent(now, r.Within)+(1-place)*cost <= part
 }
--- a/control/api.go
+++ b/control/api.go
@@ -73,7 +73,8 @@
 
 // Settings are what a director is told at its start.
 type Settings struct {
-	Me          int      // number of this director
+	Me          int      // number of this director,
+	Numberless  bool     // which is not told
 	Directors   int      // directors in all; 0: not told
 	Zone        string   // zone of this director, its location
 	Zones       []string // all zones
--- a/control/control.go
+++ b/control/control.go
@@ -60,7 +60,7 @@
 		classes: map[string]*class{}, servers: map[string]*server{},
 		table: map[uint64]*entry{}, requests: map[string]*request{}, tokens: map[uint64]*request{},
 		purged: purges.New(s.PurgeSettles), loads: balance.Find(s.LoadFields), spare: retryMost,
-		fetches: limits.None(), neighbor: map[int]bool{}, used: list.New()}
+		fetches: limits.None(), neighbor: map[int]bool{}, used: list.New(), own: mix(seed)}
 	d.zone = slices.Index(s.Zones, s.Zone)
 	if err := s.check(); err != nil {
 		return nil, err
@@ -343,7 +343,7 @@
 	if r.again = r.outstanding() && !d.set.SecondCopies; r.again {
 		return
 	}
-	e, a, detour := r.entry, &attempt{sent: d.now, out: true}, false
+	e, a, detour := r.entry, &attempt{sent: d.now, out: true, cost: d.cost(r)}, false
 	if origins := d.inUse[origin]; e == nil { // never kept: it runs at the origin, straight where allowed
 		if len(origins) > 0 {
 			a.to, a.source = origins[0], origins[0]
@@ -378,9 +378,9 @@
 		}
 	}
 	r.attempts = append(r.attempts, a)
-	a.to.budget.Spend(d.cost(r))
+	d.spend(a.to, a.cost)
 	if a.source != a.to {
-		a.source.budget.Spend(d.cost(r))
+		d.spend(a.source, a.cost)
 	}
 	d.count(a, 1)
 	a.trial = a.to.penalty > 0
@@ -552,7 +552,7 @@
 	seen := inference.Answer{Expected: !a.filling, OK: o.Status == OK, Late: a.sent+o.Latency > r.aim()}
 	hit := o.Status == OK && (o.Note == NoteHit || o.Note == NoteStale) || d.untold(a, o) && seen.Hit()
 	if hit && a.source != a.to {
-		a.source.budget.Spend(-d.cost(r)) // it was not asked
+		a.source.budget.Refund(a.cost) // it was not asked
 	}
 	if o.SizeKB > 0 && o.Status == OK && d.set.FlowKBps > 0 { // now it is known how long it had to take
 		d.sized(r, o.SizeKB)
@@ -679,8 +679,9 @@
 		return true
 	}
 	d.gauge(s.role)
-	return d.ramp(s.role).Allows(&s.budget, d.now, s.boot, d.cost(r), d.carried[s.role]*s.weight,
-		s.recent(d.now), d.among(s.role), d.rng.Float64)
+	from := coldstart.Sender{Among: d.among(s.role), Place: d.place(s), Can: d.carried[s.role] * s.weight,
+		Does: s.recent(d.now), DoesOver: rateWindow}
+	return d.ramp(s.role).Allows(&s.budget, d.now, s.boot, d.cost(r), from)
 }
 
 // gauge notes what warm servers of a role carry, ill ones too. It holds where none is left.
--- a/control/state.go
+++ b/control/state.go
@@ -20,6 +20,7 @@
 	set      Settings
 	rng      *rand.Rand
 	now      time.Duration
+	own      uint64 // drawn for this director alone
 	out      []Action
 	zone     int
 	classes  map[string]*class
@@ -143,6 +144,7 @@
 type attempt struct {
 	to, source *server
 	sent       time.Duration
+	cost       float64 // as a cold server counts it: work in seconds
 	keep       int
 	out, ran   bool // it has no outcome yet; it may have run
 	trial      bool // it tries a server that was ejected
--- a/control/table.go
+++ b/control/table.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"larchusher/coldstart"
 )
 
 // The upkeep of what is remembered: the lists of caches, and averages. Which object goes where is decided in control.go.
@@ -32,6 +34,19 @@
 	e.in, e.inBoot = s, s.boot
 }
 
+// spend notes that something of a cost goes to a server.
+func (d *Director) spend(s *server, cost float64) {
+	d.ramp(s.role).Spend(&s.budget, d.now, s.boot, cost)
+}
+
+// place is this director's among those that send to a server; drawn by itself where it is not told.
+func (d *Director) place(s *server) float64 {
+	if d.among(s.role) <= 0 || d.set.Numberless {
+		return coldstart.Place(0, d.own^s.hash)
+	}
+	return coldstart.Place(d.set.Me, s.hash)
+}
+
 // recent is the work a second that a server has done for us lately. Only what it answered counts: what was
 // sent may be more than it can do.
 func (s *server) recent(now time.Duration) float64 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"runtime/debug"
 	"strconv"
 	"time"
@@ -18,7 +19,7 @@
 type Config struct {
 	Loop     *Loop
 	Settings control.Settings
-	Seed     uint64
+	Seed     uint64 // of all that is drawn; 0: it is drawn itself
 	Backend  Backend
 	Peers    Peers // nil: none
 	// Permit says whether a store may be sent to, or be named as a source, at this moment; it goes beside the list, and the
@@ -87,6 +88,9 @@
 // New returns a gateway. It does nothing until [Gateway.Start].
 func New(cfg Config) (*Gateway, error) {
 	now := time.Now()
+	if cfg.Seed == 0 { // guards against a fleet that draws alike, and does the same in the same moment
+		cfg.Seed = rand.Uint64()
+	}
 	g := &Gateway{cfg: cfg, base: now, baseUnix: time.Duration(now.UnixNano()),
 		requests: map[string]*Request{}, refs: map[string]*Request{}, over: map[string]*Request{}}
 	if err := g.makePlaces(); err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"os"
 	"reflect"
@@ -140,7 +141,9 @@
 		}
 	}
 	var err error
-	if c.Seed, err = strconv.ParseUint(c.SeedText, 16, 64); err != nil && c.SeedText != "" {
+	if c.SeedText == "" { // guards against a fleet that draws alike, and does the same in the same moment
+		c.Seed = rand.Uint64()
+	} else if c.Seed, err = strconv.ParseUint(c.SeedText, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %w", err)
 	}
 	if len(c.Raw) == 0 {
@@ -219,7 +222,7 @@
 		old, new any
 	}{{"name", c.Name, newer.Name}, {"listen", c.Listen, newer.Listen}, {"limits", c.Limits, newer.Limits},
 		{"peer_listen", c.PeerListen, newer.PeerListen}, {"peers", c.Peers, newer.Peers},
-		{"peers_all", c.PeersAll, newer.PeersAll}, {"seed", c.Seed, newer.Seed},
+		{"peers_all", c.PeersAll, newer.PeersAll}, {"seed", c.SeedText, newer.SeedText},
 		{"settings", []any{c.Settings, c.Sockets}, []any{newer.Settings, newer.Sockets}}} {
 		if !reflect.DeepEqual(k.old, k.new) {
 			keys = append(keys, k.key)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -76,7 +76,7 @@
 		Fields []string `json:"fields"`
 		How    string   `json:"how"`
 	} `json:"loadInfo"`
-	Position int     `json:"position"`
+	Position *int    `json:"position"`
 	StepMs   float64 `json:"stepMs"`
 	Tenants  []struct {
 		Name string `json:"name"`
@@ -145,7 +145,7 @@
 	}
 	fi := &e.FamilyInfo
 	s := control.Settings{
-		Me: e.Position, Directors: e.Balancers, Zone: e.Zone, Zones: e.DCs, ZoneHub: fi.HomeHub,
+		Numberless: e.Position == nil, Directors: e.Balancers, Zone: e.Zone, Zones: e.DCs, ZoneHub: fi.HomeHub,
 		ZonePeers: fi.CountByZone, ZoneLink: fi.ZoneLinkKbPerS, Kinds: e.Flavors, ParentKind: -1,
 		WeightsTold: e.WeightSource != "" && e.WeightSource != "off", FlowKBps: fi.StreamKbPerS,
 		Ask: e.Discovery == "ask", PassBy: fi.MayPassBy, Joins: fi.Joins,
@@ -165,6 +165,9 @@
 	if e.LoadInfo.How == "inline" || e.LoadInfo.How == "on_probe" {
 		s.LoadFields = e.LoadInfo.Fields
 	}
+	if e.Position != nil {
+		s.Me = *e.Position
+	}
 	if fi.ShieldKind != nil {
 		s.ParentKind = *fi.ShieldKind
 	}
