A signed front that a reload takes out of the operator's file ends

Change: the listener closes, what was admitted is answered, each connection ends behind its last answer, what waits for its turn is refused (503). A file that has the front again takes effect with the next start, and the log says that. Test: TestHangupWithoutTheSignedFrontEndsIt, on real sockets, with an answer held by the store while the reload comes.

--- a/cmd/larchusher/serve.go
+++ b/cmd/larchusher/serve.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"reflect"
 	"runtime"
 	"runtime/debug"
 	"strings"
@@ -61,6 +60,9 @@
 	left   func()             // to be called once all is answered; nil: nobody waits for that
 	accept []*transport.Listener
 
+	signedAt *transport.Listener // where the signed front listens
+	retired  bool                // a reload has ended that front
+
 	cfg      *config.Gateway  // as taken in at the start
 	op       *config.Operator // likewise
 	file     string           // of the operator; empty: none
@@ -228,8 +230,10 @@
 			return err
 		}
 		p.signed = signedfront.New(p.loop, p.gw, api, share.Signed, p.cfg.Seed, p.log)
-		err = listen(s.Listen, "serving signed URLs", func(a string) (*transport.Listener, error) {
-			return p.engine.Listen(a, share.Signed, p.signed.MakeRoom, p.signed.Accept)
+		err = listen(s.Listen, "serving signed URLs", func(a string) (l *transport.Listener, err error) {
+			l, err = p.engine.Listen(a, share.Signed, p.signed.MakeRoom, p.signed.Accept)
+			p.signedAt = l
+			return l, err
 		})
 		if err != nil {
 			return err
@@ -288,7 +292,7 @@
 		return
 	}
 	var api *httpapi.API
-	if p.op.Signed != nil && op.Signed != nil {
+	if op.Signed != nil {
 		if api, err = signedAPI(op.Signed, p.cfg); err != nil {
 			failed(err)
 			return
@@ -300,7 +304,7 @@
 		return
 	}
 	keys := p.cfg.Fixed(cfg)
-	if !reflect.DeepEqual(p.op.Fixed(), op.Fixed()) {
+	if !p.op.Same(op) {
 		keys = append(keys, "listeners, overload and localities of the operator's file")
 	}
 	if len(keys) > 0 {
@@ -309,10 +313,8 @@
 	p.loop.Post(func() {
 		p.reloads++
 		p.feed.Move(cfg.Journal)
-		if p.signed != nil && api != nil {
-			p.signed.Use(api)
-		}
-		if p.op.Tiers != nil && places != nil && reflect.DeepEqual(p.op.Fixed(), op.Fixed()) {
+		p.useSigned(api)
+		if p.op.Tiers != nil && places != nil && p.op.Same(op) {
 			if err := p.gw.UseTiers(*places); err != nil {
 				p.log.WithError(err).Error("reload: tiers stay as they were")
 			}
@@ -321,6 +323,23 @@
 	})
 }
 
+// useSigned has the signed front go by what a newer file says. One that the file has no more ends, for good: its keys may be
+// somebody's who is not served here any longer.
+func (p *program) useSigned(api *httpapi.API) {
+	switch {
+	case p.signed == nil:
+	case api == nil && !p.retired:
+		p.retired = true
+		p.signedAt.Close()
+		p.signed.Retire()
+		p.log.Warn("reload: the signed front has ended")
+	case api != nil && p.retired:
+		p.log.WithField("keys", "signed_front").Warn("reload: these keys take effect with the next start")
+	case api != nil:
+		p.signed.Use(api)
+	}
+}
+
 // mind hands signals to the loop.
 func (p *program) mind(signals <-chan os.Signal) {
 	for s := range signals {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -98,19 +99,20 @@
 	return &c, nil
 }
 
-// Fixed is what is taken in at the start only: all but the keys of the signed front and what tiers go by.
-func (o *Operator) Fixed() []any {
-	listen := ""
-	if o.Signed != nil {
-		listen = o.Signed.Listen
-	}
-	var places []string
-	if o.Tiers != nil {
-		for _, l := range o.Tiers.Localities {
-			places = append(places, l.Name)
+// Same says whether a newer file has all that is taken in at the start only: all but the keys of the signed front, whether that goes on
+// at all, and what tiers go by.
+func (o *Operator) Same(newer *Operator) bool {
+	fixed := func(o *Operator) []any {
+		var places []string
+		if o.Tiers != nil {
+			for _, l := range o.Tiers.Localities {
+				places = append(places, l.Name)
+			}
 		}
+		return []any{o.AgentListen, o.HTTPListen, o.MetricsListen, o.Overload, places, o.State, o.Fleet}
 	}
-	return []any{listen, o.AgentListen, o.HTTPListen, o.MetricsListen, o.Overload, places, o.State, o.Fleet}
+	moved := newer.Signed != nil && (o.Signed == nil || o.Signed.Listen != newer.Signed.Listen)
+	return !moved && reflect.DeepEqual(fixed(o), fixed(newer))
 }
 
 // Signed is the configuration of the front for signed URLs.
--- a/internal/net/signedfront/front.go
+++ b/internal/net/signedfront/front.go
@@ -19,8 +19,10 @@
 	aheadMost = headMost + httpapi.BodyMost + 4 // bytes that may come ahead of an answer
 )
 
-// errEnding ends connections with the program.
-var errEnding = errors.New("the program ends")
+var (
+	errEnding  = errors.New("the program ends")
+	errRetired = errors.New("the front was taken out of service")
+)
 
 // Front takes signed requests over HTTP/1.1. One request of a connection is in work at a time; others that
 // have come wait for their turn, so that answers leave in order.
@@ -34,7 +36,7 @@
 	serial  uint64
 	seed    uint64
 	ending  bool
-	shut    bool // Shut was called
+	shut    bool // Shut or Retire was called
 
 	Admitted uint64
 	Problems map[string]uint64 // by reason
@@ -78,6 +80,17 @@
 	}
 }
 
+// Retire ends the front while the program goes on: nothing is admitted any more, what was is answered, and each connection ends
+// behind its last answer.
+func (f *Front) Retire() {
+	f.shut, f.ending = true, true
+	for c := range f.conns {
+		if c.last = true; c.busy == nil && !c.checks {
+			c.tc.End(errRetired, transport.Linger)
+		}
+	}
+}
+
 // MakeRoom has an idle connection closed, for one that waits to be accepted. It may be called from anywhere.
 func (f *Front) MakeRoom() { f.loop.Post(func() { f.tenants.MakeRoom(f.loop.Now(), 1) }) }
 
@@ -221,6 +234,11 @@
 // has a good token.
 func (c *conn) check(h *head, body []byte, at time.Time, shed bool) {
 	f := c.front
+	if f.shut { // its turn came after the end: by keys that are not there any more nothing is admitted
+		c.last = true
+		c.problem(httpapi.Overloaded(f.gateway.Later(h.target)))
+		return
+	}
 	ad, p := f.api.Admit(httpapi.Call{Method: h.method, Target: h.target, Header: h.get, Body: body, At: at})
 	if p == nil && shed {
 		p = httpapi.Overloaded(f.gateway.Later(h.target))
--- a/test/reload_test.go
+++ b/test/reload_test.go
@@ -1,6 +1,8 @@
 package test
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -88,6 +90,72 @@
 	}
 }
 
+// A signed front that a newer file has no more ends: what was admitted is answered, and then nothing is, by the old keys or at all; the
+// other front goes on, and a file that has it again says that this takes a start. What comes with the reload's signal is forced to
+// be open: the store holds its answer.
+func TestHangupWithoutTheSignedFrontEndsIt(t *testing.T) {
+	r, addr := signedRig(t, "")
+	held := make(chan *ask, 10)
+	r.on(func(a *ask) {
+		if a.Fields["name"] == object {
+			held <- a
+			return
+		}
+		done(a)
+	})
+	sign := signer(t, signedKeys, "old")
+	uri := func(object string) string {
+		return strings.TrimPrefix(sign(signedurl.Order{Target: "/films/" + object + "/3?shard=17", Expiry: time.Now().Add(time.Minute)}), base)
+	}
+	busy, idle := newWeb(t, addr), newWeb(t, addr)
+	if status, _, _ := idle.get("GET", uri("00000000000000dd")); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	answered := make(chan int, 1)
+	go func() {
+		status, _, _ := busy.get("GET", uri(object))
+		answered <- status
+	}()
+	a := <-held
+
+	file, err := os.ReadFile(r.args[2])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(r.args[2], []byte("# nothing\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.signal(syscall.SIGHUP)
+	r.logged("the signed front has ended")
+	if n, err := idle.r.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("an idle connection: %d bytes, %v", n, err)
+	}
+	done(a)
+	if status := <-answered; status != http.StatusOK {
+		t.Errorf("status %d for what was admitted before", status)
+	}
+	if n, err := busy.r.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the connection behind its last answer: %d bytes, %v", n, err)
+	}
+	if conn, err := net.Dial("tcp", addr); err == nil {
+		conn.Close()
+		t.Error("it still takes connections")
+	}
+	c := r.client()
+	c.send("images", "00000000000000ee", 2*time.Second, "")
+	if got := c.next(); got.err != "" {
+		t.Errorf("on the other front: %+v", got)
+	}
+	if err := os.WriteFile(r.args[2], file, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.log.Reset()
+	r.signal(syscall.SIGHUP)
+	if line := r.logged("with the next start"); !strings.Contains(line, "signed_front") {
+		t.Error(line)
+	}
+}
+
 // The signed front takes its keys anew: a dropped one is refused from then on, on open connections too.
 func TestHangupTakesNewKeys(t *testing.T) {
 	r, addr := signedRig(t, "")
