Tests: a resting client's writes behind the end are read, which shows that serve shuts and lingers

Before, no test failed without serve's call of Shut (docs/design/crossings.md): a reset behind an end shows in the client's next write, not in a read.

--- a/test/crossing_test.go
+++ b/test/crossing_test.go
@@ -887,8 +887,9 @@
 	}
 }
 
-// A client at rest, until the gateway ends: it sees the end of the connection and no reset, though it sends right then;
-// what it sends is not sent on.
+// A client at rest, until the gateway ends: it sees the end of the connection and no reset, though it sends right behind the end;
+// what it sends is not sent on. A program that just ended would answer those bytes with a reset, which may take away what a client
+// has not read.
 func TestARestingClientSeesTheEnd(t *testing.T) {
 	r := newRig(t).start()
 	c := r.client()
@@ -899,7 +900,15 @@
 	if _, err := c.r.ReadByte(); err != io.EOF {
 		t.Errorf("it sees %v", err)
 	}
-	c.send("images", object, 2*time.Second, "")
+	// Behind the end a reset shows in the next write alone: the system answers the first one with it.
+	for i := range 5 {
+		c.txn++
+		if _, err := c.conn.Write(c.request("images", object, 2*time.Second, "")); err != nil {
+			t.Errorf("its write %d behind the end: %v", i+1, err)
+			break
+		}
+		time.Sleep(time.Millisecond) // for the system, which is the same on both sides
+	}
 	if err := next(t, r.exited); err != nil {
 		t.Errorf("it ended with %v", err)
 	}
