Cold stores: what was sent in the window is summed as it goes, not anew for each question

A store that started among few gateways is sent hundreds within its window, and each request asks it several times.

--- a/coldstart/coldstart.go
+++ b/coldstart/coldstart.go
@@ -9,6 +9,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -53,7 +54,10 @@
 
 // Budget is what one sender has sent to a cold store within the time in which it falls over. The zero value is for a store that
 // nothing was sent to.
-type Budget struct{ sent []spending }
+type Budget struct {
+	sent []spending // in order of time
+	sum  float64    // of their costs
+}
 
 type spending struct {
 	at   time.Duration
@@ -63,35 +67,34 @@
 // Spend notes that something of a cost is sent to a store that started at a time.
 func (r Ramp) Spend(b *Budget, now, start time.Duration, cost float64) {
 	if r.Share(now, start) >= 1 { // guards the memory: to a warm one much is sent
-		b.sent = nil
+		*b = Budget{}
 		return
 	}
-	b.spent(now, r.Within)
+	b.forget(now - r.Within)
 	b.sent = append(b.sent, spending{now, cost})
+	b.sum += cost
 }
 
 // Refund takes back the latest spending of a cost, which did not come to the store.
 func (b *Budget) Refund(cost float64) {
 	for i := len(b.sent) - 1; i >= 0; i-- {
 		if b.sent[i].cost == cost {
-			b.sent = append(b.sent[:i], b.sent[i+1:]...)
+			b.sent = slices.Delete(b.sent, i, i+1)
+			b.sum -= cost
 			return
 		}
 	}
 }
 
-// spent sums up what was sent within a time, and forgets what was before.
-func (b *Budget) spent(now, within time.Duration) (sum float64) {
-	old := 0
-	for _, s := range b.sent {
-		if now-s.at >= within {
-			old++
-			continue
-		}
-		sum += s.cost
+// forget drops what was sent until a time.
+func (b *Budget) forget(until time.Duration) {
+	for len(b.sent) > 0 && b.sent[0].at <= until {
+		b.sum -= b.sent[0].cost
+		b.sent = b.sent[1:]
+	}
+	if len(b.sent) == 0 { // what rounding left in the sum goes, too
+		*b = Budget{}
 	}
-	b.sent = append(b.sent[:0], b.sent[old:]...)
-	return sum
 }
 
 // Allows says whether something of a cost may be sent to a store that started at a time.
@@ -119,5 +122,6 @@
 	part := within * max(r.Multiple*margin*rate, cost/max(1, within)/max(1, among))
 	// The order moves on by one sender in each window, so that none is shut out for the whole ramp.
 	_, place := math.Modf(s.Place + float64(now)/float64(r.Within)/max(1, among))
-	return b.spent(now, r.Within)+(1-place)*cost <= part
+	b.forget(now - r.Within)
+	return b.sum+(1-place)*cost <= part
 }
