--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -342,3 +342,34 @@
 		t.Errorf("the miss brought %v, want a refusal at once", out)
 	}
 }
+
+// The places of directors in the order in which parts are rounded up are even, by their numbers or by their seeds, and other ones
+// at each store. Guards against a fleet that rounds alike: all or none of it would send.
+func TestDirectorsHaveEvenPlaces(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"by number":           nil,
+		"no number told":      func(s *Settings) { s.Me, s.Numberless = 0, true },
+		"nothing told at all": func(s *Settings) { s.Me, s.Numberless, s.Directors, s.ZonePeers = 0, true, 0, nil },
+	} {
+		f := newFleet(t, 100, change)
+		var quarters, second [4]int
+		for _, r := range f.rigs {
+			quarters[int(4*r.d.place(r.d.servers["c1"]))]++
+			if int(4*r.d.place(r.d.servers["c1"])) == 0 {
+				second[int(4*r.d.place(r.d.servers["c2"]))]++
+			}
+		}
+		least, most := 22, 28
+		if name != "by number" {
+			least, most = 12, 40 // three deviations
+		}
+		for q, n := range quarters {
+			if n < least || n > most {
+				t.Errorf("%s: %d of 100 directors have their place in quarter %d", name, n, q+1)
+			}
+		}
+		if name == "by number" && second[0] > 20 {
+			t.Errorf("%d of those that come first at one cache come first at the next", second[0])
+		}
+	}
+}
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -159,3 +159,45 @@
 		}
 	}
 }
+
+// What each gateway draws by must differ, and a number that is not told is none.
+func TestSeedsAndNumbersThatAreNotTold(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/example.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	read := func(change func(all, settings map[string]any)) *Gateway {
+		var all map[string]any
+		if err := json.Unmarshal(text, &all); err != nil {
+			t.Fatal(err)
+		}
+		change(all, all["settings"].(map[string]any))
+		data, err := json.Marshal(all)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := Parse(data, "", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	untold := func(all, settings map[string]any) {
+		delete(all, "seed")
+		delete(settings, "position")
+	}
+	a, b := read(untold), read(untold)
+	if a.Seed == b.Seed {
+		t.Errorf("two starts drew %x", a.Seed)
+	}
+	if keys := a.Fixed(b); len(keys) > 0 {
+		t.Errorf("a reload says that %q changed", keys)
+	}
+	if !a.Settings.Numberless {
+		t.Error("a position that is not told is taken for 0")
+	}
+	told := read(func(all, settings map[string]any) { all["seed"], settings["position"] = "2a", 0 })
+	if told.Seed != 0x2a || told.Settings.Numberless || told.Settings.Me != 0 {
+		t.Errorf("seed %x, number %d, untold: %v", told.Seed, told.Settings.Me, told.Settings.Numberless)
+	}
+}
