--- a/test/cold_test.go
+++ b/test/cold_test.go
@@ -31,6 +31,16 @@
 	return strings.Join(hosts, ",")
 }
 
+// replaced makes stores with two caches more, n1 and n2, that are to replace the others, and the list before that.
+func replaced(t *testing.T) (stores map[string]*store, before json.RawMessage) {
+	stores = newStores(t)
+	for _, n := range []string{"n1", "n2"} {
+		stores[n] = newStore(t, n, "box")
+	}
+	return stores, json.RawMessage(`{"pos":1,"entries":[{"pos":1,"hosts":{"index":1,"snapshot":true,"endpoints":[` +
+		listed(stores, "SERVING", 0, "c1", "c2", "p", "o") + `]}}]}`)
+}
+
 // settingsOf is world.Settings with other values for some of its top keys; nil takes one away.
 func settingsOf(t *testing.T, change map[string]any) json.RawMessage {
 	t.Helper()
@@ -121,12 +131,7 @@
 func TestColdStoresBeforeManyProcesses(t *testing.T) {
 	seed := seeds()
 	const processes, aSecond = 24, 12
-	stores := newStores(t)
-	for _, n := range []string{"n1", "n2"} {
-		stores[n] = newStore(t, n, "box")
-	}
-	warm := json.RawMessage(`{"pos":1,"entries":[{"pos":1,"hosts":{"index":1,"snapshot":true,"endpoints":[` +
-		listed(stores, "SERVING", 0, "c1", "c2", "p", "o") + `]}}]}`)
+	stores, warm := replaced(t)
 	stop := make(chan bool)
 	defer close(stop)
 	begin := func(i int, known json.RawMessage) *rig {
@@ -185,16 +190,11 @@
 func TestColdStoresBeforeARelease(t *testing.T) {
 	seed := seeds()
 	const processes, aSecond = 24, 1
-	stores := newStores(t)
-	for _, n := range []string{"n1", "n2"} {
-		stores[n] = newStore(t, n, "box")
-	}
+	stores, warm := replaced(t)
 	settings := func(i int) json.RawMessage {
 		return settingsOf(t, map[string]any{"balancers": processes, "position": i, "familyInfo": map[string]any{"countByZone": []int{0, processes},
 			"streamKbPerS": 190}}) // at which a body of the stand-ins takes as long as a first guess has it
 	}
-	warm := json.RawMessage(`{"pos":1,"entries":[{"pos":1,"hosts":{"index":1,"snapshot":true,"endpoints":[` +
-		listed(stores, "SERVING", 0, "c1", "c2", "p", "o") + `]}}]}`)
 	stop := make(chan bool)
 	var all []*rig
 	for i := range processes {
