A second address for operators: READY and the figures by STATS

Change: internal/net/console (line protocol), gateway.Outcomes (final answers by class, with those refused at the door), metrics.StatsD; the key console and BALANCER_CONSOLE.

--- /dev/null
+++ b/cmd/larchusher/figures.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"errors"
+	"maps"
+	"slices"
+
+	"larchusher/internal/metrics"
+	"larchusher/internal/net/console"
+)
+
+var (
+	errStarting = errors.New("starting")
+	errDraining = errors.New("draining")
+)
+
+// openConsole takes operators' calls, if the configuration names an address for them.
+func (p *program) openConsole() error {
+	if p.cfg.Console == "" {
+		return nil
+	}
+	server := console.New(console.Config{Loop: p.loop, Ready: p.ready, Figures: p.figures, Most: p.shares().Console})
+	l, err := server.Listen(p.engine, p.cfg.Console)
+	if err != nil {
+		return err
+	}
+	p.console = l
+	p.log.WithField("listen", l.Addr().String()).Info("answering operators")
+	return nil
+}
+
+// ready says whether this process takes clients, or why it does not. It runs on the loop.
+func (p *program) ready() error {
+	switch {
+	case p.draining:
+		return errDraining
+	case !p.serving:
+		return errStarting
+	}
+	return nil
+}
+
+// figures are what operators ask for. They run on the loop.
+func (p *program) figures() (all []metrics.Value) {
+	add := func(kind metrics.Kind, name string, n uint64, labels ...metrics.Label) {
+		all = append(all, metrics.Value{Name: name, Kind: kind, Value: float64(n), Labels: labels})
+	}
+	outcomes := p.gw.Outcomes()
+	for _, class := range slices.Sorted(maps.Keys(outcomes)) {
+		o, label := outcomes[class], metrics.Label{Name: "class", Value: class}
+		add(metrics.Counter, "success", o.Served, label)
+		add(metrics.Counter, "overload", o.Refused, label)
+		add(metrics.Counter, "error", o.Failed, label)
+	}
+	listed, avoided := p.gw.Stores()
+	add(metrics.Counter, "dispatches", p.pool.Counters.Written)
+	add(metrics.Gauge, "concurrent", uint64(p.gw.Open()))
+	add(metrics.Gauge, "targets", uint64(listed))
+	add(metrics.Gauge, "targets_disabled", uint64(avoided))
+	add(metrics.Counter, "reload_success", uint64(p.reloads))
+	add(metrics.Counter, "reload_failure", uint64(p.badReloads))
+	return all
+}
--- a/cmd/larchusher/serve.go
+++ b/cmd/larchusher/serve.go
@@ -63,11 +63,15 @@
 	signedAt *transport.Listener // where the signed front listens
 	retired  bool                // a reload has ended that front
 
-	cfg      *config.Gateway  // as taken in at the start
-	op       *config.Operator // likewise
-	file     string           // of the operator; empty: none
-	reloads  int
-	draining bool
+	cfg     *config.Gateway     // as taken in at the start
+	op      *config.Operator    // likewise
+	file    string              // of the operator; empty: none
+	console *transport.Listener // nil: operators have no address
+	serving bool                // clients are accepted
+
+	reloads    int
+	badReloads int // files that were at fault
+	draining   bool
 }
 
 // serve is the sub-command of that name.
@@ -129,6 +133,9 @@
 		return err
 	}
 	p.pool.Gateway = p.gw
+	if err := p.openConsole(); err != nil {
+		return err
+	}
 	book := &journal.Book{Sink: sink{p.gw, p.pool}, Clock: p.gw.Clock}
 	if err := book.Start(time.Now(), cfg.Known); err != nil {
 		return fmt.Errorf("known: %w", err)
@@ -162,6 +169,7 @@
 		return err
 	}
 	p.log.WithField("listen", l.Addr().String()).Info("serving")
+	p.loop.Post(func() { p.serving = true })
 
 	go p.mind(signals)
 	go func() { // a second one changes nothing
@@ -280,6 +288,7 @@
 func (p *program) reload() {
 	failed := func(err error) {
 		p.log.WithError(err).Error("reload: the old configuration stays")
+		p.loop.Post(func() { p.badReloads++ })
 	}
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
--- a/control/observe.go
+++ b/control/observe.go
@@ -12,6 +12,7 @@
 type Observed struct {
 	ID, Kind, Zone string
 	Up, Warm       bool
+	Usable         bool // neither its phase nor its failures keep it out of use
 	Boot           time.Duration
 	Weight         float64
 	Busy           float64 // share of its capacity in use, as reported lately; less than 0: not known
@@ -27,7 +28,7 @@
 	d.now = max(d.now, now)
 	kinds := [...]string{"box", "parent", "origin"}
 	for _, s := range d.servers {
-		o := Observed{ID: s.id, Kind: kinds[s.role], Up: s.up, Warm: d.warm(s), Boot: s.boot, Weight: s.weight, Busy: -1}
+		o := Observed{ID: s.id, Kind: kinds[s.role], Up: s.up, Warm: d.warm(s), Usable: s.up && (d.healthy(s) || d.floored(s)), Boot: s.boot, Weight: s.weight, Busy: -1}
 		if s.zone >= 0 {
 			o.Zone = d.set.Zones[s.zone]
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,7 +51,8 @@
 	refs     map[string]*Request // the same, by their clients' ids
 	over     map[string]*Request // those answered that have attempts out
 	serial   uint64
-	held     int // bytes of request bodies held
+	held     int                  // bytes of request bodies held
+	outcomes map[string]*Outcomes // by class
 
 	events  []event
 	running bool
@@ -92,7 +93,7 @@
 		cfg.Seed = rand.Uint64()
 	}
 	g := &Gateway{cfg: cfg, base: now, baseUnix: time.Duration(now.UnixNano()),
-		requests: map[string]*Request{}, refs: map[string]*Request{}, over: map[string]*Request{}}
+		requests: map[string]*Request{}, refs: map[string]*Request{}, over: map[string]*Request{}, outcomes: map[string]*Outcomes{}}
 	if err := g.makePlaces(); err != nil {
 		return nil, err
 	}
@@ -243,6 +244,7 @@
 	}
 	g.finish(r)
 	g.Counters.Answered[a.Outcome]++
+	g.CountAnswer(r.Class, a)
 	r.Answer(a)
 	g.settled(r, a)
 }
--- /dev/null
+++ b/gateway/outcomes.go
@@ -0,0 +1,69 @@
+package gateway
+
+// Outcomes counts the final answers to requests of one class, as their clients see them.
+type Outcomes struct {
+	Served  uint64
+	Refused uint64 // trying again is harmless
+	Failed  uint64
+}
+
+// add counts one final answer.
+func (o *Outcomes) add(a Answer) {
+	switch {
+	case a.Outcome == Served || a.Outcome == Unchanged:
+		o.Served++
+	case a.Outcome == Refused || a.Harmless:
+		o.Refused++
+	default:
+		o.Failed++
+	}
+}
+
+// CountAnswer counts a final answer that a front gave by itself, such as the one to a request that cannot be read. Answers
+// that the gateway gives are counted by it. A class that the settings do not name is not counted.
+func (g *Gateway) CountAnswer(class string, a Answer) {
+	o := g.outcomes[class]
+	if o == nil {
+		if g.class(class) == nil {
+			return
+		}
+		o = &Outcomes{}
+		g.outcomes[class] = o
+	}
+	o.add(a)
+}
+
+// Outcomes returns the final answers so far for each class of the settings, with those refused at the door.
+func (g *Gateway) Outcomes() map[string]Outcomes {
+	all := map[string]Outcomes{}
+	for _, c := range g.cfg.Settings.Classes {
+		all[c.Name] = Outcomes{}
+	}
+	for class, o := range g.outcomes {
+		all[class] = *o
+	}
+	for front := range fronts {
+		for band := range g.order.Bands() {
+			class, known := g.order.Class(band)
+			if !known {
+				continue
+			}
+			o := all[class]
+			o.Refused += g.door.Shed(int(front), band)
+			all[class] = o
+		}
+	}
+	return all
+}
+
+// Stores returns how many stores are on the list, and how many of those nothing new is sent to at present: they drain, are
+// out for work, or are out of use for their failures.
+func (g *Gateway) Stores() (listed, avoided int) {
+	seen, _ := g.directors[0].Observe(g.now())
+	for _, s := range seen {
+		if !s.Usable {
+			avoided++
+		}
+	}
+	return len(seen), avoided
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,6 +2,7 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -39,7 +40,7 @@
 }
 
 // Shares are the descriptors that each side may hold. They add up to less than the limit.
-type Shares struct{ Stores, Clients, Signed, Checks int }
+type Shares struct{ Stores, Clients, Signed, Checks, Console int }
 
 // Shares divides the descriptors up. A third is for stores; what the program needs for itself (poller, listeners,
 // journal, peers, standard streams, a connection that is closed as it comes) is set aside; clients get the rest.
@@ -47,6 +48,10 @@
 	n := c.Limits.Sockets
 	s := Shares{Stores: n / 3}
 	s.Clients = n - s.Stores - min(20, n/4)
+	if c.Console != "" {
+		s.Console = min(16, n/16)
+		s.Clients -= s.Console
+	}
 	if checks {
 		s.Checks = min(16, n/32)
 		s.Clients -= 3 * s.Checks
@@ -77,6 +82,7 @@
 	Peers      []string      `json:"peers"`
 	PeersAll   string        `json:"peers_all"`
 	Journal    string        `json:"journal"`
+	Console    string        `json:"console"` // where operators call; empty: nowhere
 	Known      journal.Known `json:"known"`
 	// Top pace of one answer in bytes a second, as it holds on these sockets; 0: settings.familyInfo.streamKbPerS.
 	FlowBytesPerS float64         `json:"flow_bytes_per_s"`
@@ -94,7 +100,7 @@
 }
 
 // Load reads the configuration that the environment names: the file in BALANCER_CONFIG, over which
-// BALANCER_NAME and BALANCER_LISTEN go.
+// BALANCER_NAME, BALANCER_LISTEN and BALANCER_CONSOLE go.
 func Load(env func(string) string) (*Gateway, error) {
 	path := env(environmentPrefix + "CONFIG")
 	if path == "" {
@@ -104,30 +110,31 @@
 	if err != nil {
 		return nil, fmt.Errorf("%sCONFIG: %w", environmentPrefix, err)
 	}
-	c, err := Parse(data, env(environmentPrefix+"NAME"), env(environmentPrefix+"LISTEN"))
+	c, err := Parse(data, Overrides{Name: env(environmentPrefix + "NAME"), Listen: env(environmentPrefix + "LISTEN"),
+		Console: env(environmentPrefix + "CONSOLE")})
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	return c, nil
 }
 
-// Parse reads a configuration. A name and an address to listen on, if given, go before those in it.
-func Parse(data []byte, name, listen string) (*Gateway, error) {
+// Overrides are values of the environment that go before those of the configuration's file. Empty ones do not.
+type Overrides struct{ Name, Listen, Console string }
+
+// Parse reads a configuration.
+func Parse(data []byte, over Overrides) (*Gateway, error) {
 	var c Gateway
 	if err := json.Unmarshal(data, &c); err != nil {
 		return nil, err
 	}
-	if name != "" {
-		c.Name = name
-	}
-	if listen != "" {
-		c.Listen = listen
-	}
+	c.Name = cmp.Or(over.Name, c.Name)
+	c.Listen = cmp.Or(over.Listen, c.Listen)
+	c.Console = cmp.Or(over.Console, c.Console)
 	for _, a := range [...]struct {
 		key, value string
 		needed     bool
 	}{{"listen", c.Listen, true}, {"journal", c.Journal, true}, {"peer_listen", c.PeerListen, false},
-		{"peers_all", c.PeersAll, false}} {
+		{"peers_all", c.PeersAll, false}, {"console", c.Console, false}} {
 		if a.value == "" && !a.needed {
 			continue
 		}
@@ -220,7 +227,7 @@
 	for _, k := range [...]struct {
 		key      string
 		old, new any
-	}{{"name", c.Name, newer.Name}, {"listen", c.Listen, newer.Listen}, {"limits", c.Limits, newer.Limits},
+	}{{"name", c.Name, newer.Name}, {"listen", c.Listen, newer.Listen}, {"console", c.Console, newer.Console}, {"limits", c.Limits, newer.Limits},
 		{"peer_listen", c.PeerListen, newer.PeerListen}, {"peers", c.Peers, newer.Peers},
 		{"peers_all", c.PeersAll, newer.PeersAll}, {"seed", c.SeedText, newer.SeedText},
 		{"settings", []any{c.Settings, c.Sockets}, []any{newer.Settings, newer.Sockets}}} {
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -108,7 +108,7 @@
 		t.Fatal(err)
 	}
 	for flow, want := range map[string]float64{"": 7200, `"flow_bytes_per_s":310000,`: 310, `"flow_bytes_per_s":-1,`: 0} {
-		c, err := Parse([]byte("{"+flow+strings.TrimPrefix(string(text), "{")), "", "")
+		c, err := Parse([]byte("{"+flow+strings.TrimPrefix(string(text), "{")), Overrides{})
 		if want == 0 {
 			if err == nil || !strings.Contains(err.Error(), "flow_bytes_per_s") {
 				t.Errorf("%s: %v", flow, err)
@@ -149,7 +149,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		got, err := Parse(data, "", "")
+		got, err := Parse(data, Overrides{})
 		said := fmt.Sprint(err)
 		if err == nil {
 			said = strings.Join(got.Notes, "; ")
@@ -176,7 +176,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		c, err := Parse(data, "", "")
+		c, err := Parse(data, Overrides{})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/config/sites_test.go
+++ b/internal/config/sites_test.go
@@ -45,7 +45,7 @@
 		if err := json.Unmarshal(raw, &told); err != nil {
 			t.Fatal(err)
 		}
-		c, err := Parse([]byte(fmt.Sprintf(`{"listen":"127.0.0.1:1","journal":"127.0.0.1:2","settings":%s}`, raw)), "", "")
+		c, err := Parse([]byte(fmt.Sprintf(`{"listen":"127.0.0.1:1","journal":"127.0.0.1:2","settings":%s}`, raw)), Overrides{})
 		if err != nil {
 			t.Errorf("%s: %v", file, err)
 			continue
--- /dev/null
+++ b/internal/net/console/console.go
@@ -0,0 +1,125 @@
+// Package console answers operators at an address of their own: a connection carries one line with the name of a call and
+// gets one reply. It knows no figures itself; what it tells is handed in.
+package console
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"time"
+
+	"larchusher/gateway"
+	"larchusher/internal/metrics"
+	"larchusher/internal/net/transport"
+)
+
+const (
+	lineMost = 256                    // bytes of a call
+	sweep    = 250 * time.Millisecond // between two looks for callers that complete no call
+	prefix   = "balancer"             // of the figures
+)
+
+// Names of the calls.
+const (
+	callReady = "READY"
+	callStats = "STATS"
+)
+
+var (
+	errAnswered = errors.New("answered")
+	errNoLine   = errors.New("a call that does not end")
+)
+
+// Config says what a Server tells. Its functions run on the loop.
+type Config struct {
+	Loop    *gateway.Loop
+	Ready   func() error           // nil: this process takes clients; else the reason why it does not
+	Figures func() []metrics.Value // the present figures
+	Most    int                    // callers at once; one beyond has the one that was silent longest closed
+}
+
+// Server answers calls. Its methods, but for Listen, run on the loop.
+type Server struct {
+	cfg     Config
+	callers *transport.Tenants
+}
+
+// New returns a server that does not listen yet.
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg, callers: transport.NewTenants(cfg.Most)}
+	cfg.Loop.After(sweep, s.sweep)
+	return s
+}
+
+// Listen takes calls at an address.
+func (s *Server) Listen(engine *transport.Engine, addr string) (*transport.Listener, error) {
+	makeRoom := func() { s.cfg.Loop.Post(func() { s.callers.MakeRoom(s.cfg.Loop.Now(), 1) }) }
+	return engine.Listen(addr, s.cfg.Most, makeRoom, func() transport.Handler { return &caller{server: s} })
+}
+
+// sweep closes callers that complete no call.
+func (s *Server) sweep() {
+	s.callers.Sweep(s.cfg.Loop.Now(), nil)
+	s.cfg.Loop.After(sweep, s.sweep)
+}
+
+// reply words the reply to a call.
+func (s *Server) reply(call string) []byte {
+	switch call {
+	case callReady:
+		if err := s.cfg.Ready(); err != nil {
+			return []byte("fail " + err.Error() + "\n")
+		}
+		return []byte("ok\n")
+	case callStats:
+		return append(metrics.StatsD(prefix, s.cfg.Figures()), "eof\n"...)
+	}
+	return fmt.Appendf(nil, "fail unknown call %.40q: %s or %s\n", call, callReady, callStats)
+}
+
+// caller is one connection.
+type caller struct {
+	server *Server
+	line   []byte // poller: what has come of the call
+	called bool   // poller: it has come whole
+
+	slot *transport.Tenant // loop
+	gone bool              // loop
+}
+
+// OnOpened takes a slot.
+func (c *caller) OnOpened(tc *transport.Conn) {
+	c.server.cfg.Loop.Post(func() {
+		if !c.gone {
+			c.slot = c.server.callers.Add(tc, c.server.cfg.Loop.Now(), func() bool { return false })
+		}
+	})
+}
+
+// OnBytes answers once the line has come whole. What follows it is passed over.
+func (c *caller) OnBytes(tc *transport.Conn, b []byte, _ time.Time) error {
+	if c.called {
+		return nil
+	}
+	line, _, whole := bytes.Cut(append(c.line, b...), []byte("\n"))
+	if c.line = line; len(line) > lineMost {
+		return errNoLine
+	}
+	if c.called = whole; !whole {
+		return nil
+	}
+	call := string(bytes.TrimSpace(line))
+	c.server.cfg.Loop.Post(func() {
+		_ = tc.Write(c.server.reply(call))
+		tc.End(errAnswered, transport.Linger)
+	})
+	return nil
+}
+
+// OnClosed gives the slot back.
+func (c *caller) OnClosed(*transport.Conn, error) {
+	c.server.cfg.Loop.Post(func() {
+		c.gone = true
+		c.server.callers.Drop(c.slot)
+	})
+}
--- a/internal/net/msgpackrpc/front.go
+++ b/internal/net/msgpackrpc/front.go
@@ -168,6 +168,7 @@
 	kind    wordKind
 	id      uint64
 	request *gateway.Request
+	class   string // of a request that cannot be read
 }
 
 type wordKind byte
@@ -284,6 +285,7 @@
 			_ = tc.Write(appendFields(b, "", ""))
 		case wordBad:
 			if !c.opened(w.id) {
+				c.front.gateway.CountAnswer(w.class, gateway.Answer{Outcome: gateway.Failed})
 				c.fail(w.id, errorLost, "", "")
 			}
 		case wordRequest:
@@ -308,6 +310,7 @@
 func (c *conn) request(w word) {
 	if len(c.open) >= openMost {
 		c.front.Excess++
+		c.front.gateway.CountAnswer(w.request.Class, gateway.Answer{Outcome: gateway.Refused})
 		c.fail(w.id, errorBack, "later", "100")
 		return
 	}
@@ -364,7 +367,7 @@
 	}
 	if err != nil {
 		c.front.log.WithError(err).Debug("a request that cannot be read")
-		return word{kind: wordBad, id: m.id}
+		return word{kind: wordBad, id: m.id, class: class}
 	}
 	// A size helps to decide and reaches no store: one that can't be read is not told.
 	if kb, err := strconv.ParseFloat(string(f.ram), 64); err == nil && kb > 0 && kb <= sizeMost {
--- a/overload/order.go
+++ b/overload/order.go
@@ -152,6 +152,14 @@
 	return o.costs[band/2]
 }
 
+// Class is the class of a band; false: it is that of unknown classes.
+func (o *Order) Class(band int) (string, bool) {
+	if band/2 >= len(o.names) {
+		return "", false
+	}
+	return o.names[band/2], true
+}
+
 // Name is a band's, for counters: its class, with "+repeat" for repeats.
 func (o *Order) Name(band int) string {
 	if band/2 >= len(o.names) {
