Classes and the limit on attempts change at SIGHUP; a faulty file is taken in no part

Change: config.CheckReload (missing keys, deadlines, attempts), gateway.Reconfigure, control.Reconfigured; a request keeps the class and attempts by which it came; dropped classes are served for 3 s more.

--- a/cmd/larchusher/serve.go
+++ b/cmd/larchusher/serve.go
@@ -6,7 +6,6 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"strings"
 	"syscall"
 	"time"
 
@@ -15,7 +14,6 @@
 	"larchusher/gateway"
 	"larchusher/internal/config"
 	"larchusher/internal/fleethost"
-	"larchusher/internal/httpapi"
 	"larchusher/internal/metrics"
 	"larchusher/internal/net/agentcheck"
 	"larchusher/internal/net/journal"
@@ -26,7 +24,6 @@
 	"larchusher/internal/net/transport"
 	"larchusher/internal/snapshot"
 	"larchusher/knowledge"
-	"larchusher/signedurl"
 )
 
 const (
@@ -155,11 +152,7 @@
 	if p.link != nil {
 		go p.link.Read(p.loop, p.gw.Heard)
 	}
-	var classes []string
-	for _, c := range cfg.Settings.Classes {
-		classes = append(classes, c.Name)
-	}
-	p.front = msgpackrpc.New(p.loop, p.gw, classes, share.Clients, p.log)
+	p.front = msgpackrpc.New(p.loop, p.gw, classNames(cfg.Settings.Classes), share.Clients, p.log)
 	l, err := p.engine.Listen(cfg.Listen, share.Clients, p.front.MakeRoom, p.front.Accept)
 	if err != nil {
 		return err
@@ -193,14 +186,13 @@
 		log.WithError(err).Error("what is learned is not kept")
 		return
 	}
-	fingerprint := p.cfg.Fingerprint()
 	if found != nil {
-		keeper.Recalled = p.gw.Recall(found, p.cfg.Name, fingerprint)
+		keeper.Recalled = p.gw.Recall(found, p.cfg.Name, p.cfg.Fingerprint())
 		log.Infof("what was learned before: %v", keeper.Recalled)
 	}
 	p.keeper = keeper
 	keeper.Start(p.op.State.Every, p.loop.Post, func() *knowledge.Snapshot {
-		return &knowledge.Snapshot{Made: p.gw.Clock(p.loop.Now()), Gateway: p.cfg.Name, Settings: fingerprint, Position: p.feed.Position(),
+		return &knowledge.Snapshot{Made: p.gw.Clock(p.loop.Now()), Gateway: p.cfg.Name, Settings: p.cfg.Fingerprint(), Position: p.feed.Position(),
 			Directors: p.gw.Learned(p.op.State.Listings)}
 	})
 	var beat func()
@@ -233,7 +225,7 @@
 		return nil
 	}
 	if s := p.op.Signed; s != nil {
-		api, err := signedAPI(s, p.cfg)
+		api, err := signedAPI(s, p.cfg.Settings)
 		if err != nil {
 			return err
 		}
@@ -267,88 +259,6 @@
 	return nil
 }
 
-// signedAPI has the keys of the signed front's file.
-func signedAPI(s *config.Signed, cfg *config.Gateway) (*httpapi.API, error) {
-	verifier, err := signedurl.NewVerifier(s.URLs)
-	if err != nil {
-		return nil, err
-	}
-	var issuer *signedurl.Issuer
-	if s.RenewWith != "" {
-		if issuer, err = signedurl.NewIssuer(s.URLs, s.RenewWith); err != nil {
-			return nil, err
-		}
-	}
-	return httpapi.New(cfg.Settings, verifier, issuer), nil
-}
-
-// reload reads the files again. What may change while the program runs is taken over by the loop: the journal's
-// address, and the signed front's keys. Requests and connections stay as they are. If one file is at fault, all
-// stays as it was. It runs beside the loop, which must not wait for files.
-func (p *program) reload() {
-	failed := func(err error) {
-		p.log.WithError(err).Error("reload: the old configuration stays")
-		p.loop.Post(func() { p.badReloads++ })
-	}
-	cfg, err := config.Load(os.Getenv)
-	if err != nil {
-		failed(err)
-		return
-	}
-	op, err := config.LoadOperator(p.file, os.Getenv)
-	if err != nil {
-		failed(err)
-		return
-	}
-	var api *httpapi.API
-	if op.Signed != nil {
-		if api, err = signedAPI(op.Signed, p.cfg); err != nil {
-			failed(err)
-			return
-		}
-	}
-	places, err := op.TiersOf(p.cfg.Settings.Zone, p.cfg.Settings.Zones)
-	if err != nil {
-		failed(err)
-		return
-	}
-	keys := p.cfg.Fixed(cfg)
-	if !p.op.Same(op) {
-		keys = append(keys, "listeners, overload and localities of the operator's file")
-	}
-	if len(keys) > 0 {
-		p.log.WithField("keys", strings.Join(keys, " ")).Warn("reload: these keys take effect with the next start")
-	}
-	p.loop.Post(func() {
-		p.reloads++
-		p.feed.Move(cfg.Journal)
-		p.useSigned(api)
-		if p.op.Tiers != nil && places != nil && p.op.Same(op) {
-			if err := p.gw.UseTiers(*places); err != nil {
-				p.log.WithError(err).Error("reload: tiers stay as they were")
-			}
-		}
-		p.log.Info("reloaded")
-	})
-}
-
-// useSigned has the signed front go by what a newer file says. One that the file has no more ends, for good: its keys may be
-// somebody's who is not served here any longer.
-func (p *program) useSigned(api *httpapi.API) {
-	switch {
-	case p.signed == nil:
-	case api == nil && !p.retired:
-		p.retired = true
-		p.signedAt.Close()
-		p.signed.Retire()
-		p.log.Warn("reload: the signed front has ended")
-	case api != nil && p.retired:
-		p.log.WithField("keys", "signed_front").Warn("reload: these keys take effect with the next start")
-	case api != nil:
-		p.signed.Use(api)
-	}
-}
-
 // mind hands signals to the loop.
 func (p *program) mind(signals <-chan os.Signal) {
 	for s := range signals {
--- a/control/api.go
+++ b/control/api.go
@@ -197,6 +197,7 @@
 	Deadline time.Duration // on the director's clock
 	Write    bool
 	Retry    bool
+	Rules    *Class // by which it came in, where other ones hold for its class by now; nil: those that hold now
 }
 
 // FirstByte says that the answer of a streamed class has begun.
--- a/control/control.go
+++ b/control/control.go
@@ -94,6 +94,8 @@
 			r.over = true
 			d.forget(r)
 		}
+	case Reconfigured:
+		d.reconfigure(ev)
 	case Timer:
 		if ev.Token == tellToken {
 			d.tellMoves()
@@ -309,7 +311,7 @@
 // ---- attempts and answers ----
 
 func (d *Director) request(q Request) {
-	c := d.classes[q.Class]
+	c := d.classOf(q)
 	if d.requests[q.ID] != nil {
 		return
 	}
@@ -318,7 +320,7 @@
 		d.do(Refuse{ID: q.ID, After: d.advice()})
 		return
 	}
-	r := &request{Request: q, class: c, start: d.now, luck: d.rng.Float64(),
+	r := &request{Request: q, class: c, maxAttempts: d.set.MaxAttempts, start: d.now, luck: d.rng.Float64(),
 		key: mix(hash(q.Object) + uint64(q.Part))}
 	if !c.NeverKept && !q.Write {
 		r.entry = d.visit(r.key)
@@ -365,7 +367,7 @@
 	}
 	a.filling = a.source != a.to && (e == nil || !e.likely(a.to) || d.gone(r))
 	if a.to == nil || a.source == nil || r.Deadline-d.now <= r.work || !d.repeatable(r, a.to, nil) ||
-		d.set.MaxAttempts > 0 && len(r.attempts) >= d.set.MaxAttempts ||
+		r.maxAttempts > 0 && len(r.attempts) >= r.maxAttempts ||
 		e != nil && (len(r.attempts) == 0 && !d.fits(a.to, r) || !d.fillable(r, a)) {
 		if !r.outstanding() {
 			d.giveUp(r)
--- /dev/null
+++ b/control/reconfigure.go
@@ -0,0 +1,56 @@
+package control
+
+import "fmt"
+
+// Reconfigured says that other classes, and another limit on attempts, hold for the requests that come from now on. Those
+// that are open keep the rules by which they came.
+type Reconfigured struct {
+	Classes     []Class
+	MaxAttempts int // 0: no limit
+}
+
+func (Reconfigured) event() {}
+
+// reconfigure takes in other classes. What was learned of a class goes on under its name.
+func (d *Director) reconfigure(e Reconfigured) {
+	classes := map[string]*class{}
+	for _, c := range e.Classes {
+		next := &class{Class: c}
+		if was := d.classes[c.Name]; was != nil {
+			next.work, next.sized = was.work, was.sized
+		}
+		classes[c.Name] = next
+	}
+	d.classes, d.set.MaxAttempts = classes, e.MaxAttempts
+}
+
+// classOf finds the class of a request, with the rules by which it came; nil: there is none of that name.
+func (d *Director) classOf(q Request) *class {
+	c := d.classes[q.Class]
+	if q.Rules == nil {
+		return c
+	}
+	former := &class{Class: *q.Rules}
+	if c != nil {
+		former.work, former.sized = c.work, c.sized
+	}
+	return former
+}
+
+// CheckClasses names the first class that cannot be worked with.
+func CheckClasses(classes []Class) error {
+	if len(classes) == 0 {
+		return fmt.Errorf("settings: Classes is empty")
+	}
+	seen := map[string]bool{}
+	for i, c := range classes {
+		switch {
+		case c.Name == "":
+			return fmt.Errorf("settings: Classes[%d] has no name", i)
+		case seen[c.Name]:
+			return fmt.Errorf("settings: Classes[%d]: %q stands twice", i, c.Name)
+		}
+		seen[c.Name] = true
+	}
+	return nil
+}
--- a/control/state.go
+++ b/control/state.go
@@ -127,6 +127,7 @@
 type request struct {
 	Request
 	class           *class
+	maxAttempts     int // 0: no limit
 	key             uint64
 	entry           *entry        // nil: never kept
 	work            time.Duration // sending time at full pace
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,8 @@
 
 	intake
 	places
+
+	retirement *Timer // of classes that a new configuration dropped; nil: there never were any
 }
 
 // event waits for its turn with the director of a locality.
@@ -94,6 +96,7 @@
 	}
 	g := &Gateway{cfg: cfg, base: now, baseUnix: time.Duration(now.UnixNano()),
 		requests: map[string]*Request{}, refs: map[string]*Request{}, over: map[string]*Request{}, outcomes: map[string]*Outcomes{}}
+	g.countClasses()
 	if err := g.makePlaces(); err != nil {
 		return nil, err
 	}
@@ -136,6 +139,7 @@
 	g.serial++
 	r.id = strconv.FormatUint(g.serial, 36)
 	g.Counters.Taken++
+	r.class, r.maxAttempts = g.class(r.Class), g.cfg.Settings.MaxAttempts
 	g.requests[r.id] = r
 	g.held += len(r.Body)
 	if g.cfg.MaxOpen > 0 && len(g.requests) > g.cfg.MaxOpen || g.cfg.MaxBytes > 0 && g.held > g.cfg.MaxBytes {
@@ -155,12 +159,12 @@
 		g.refs[r.Ref] = r
 	}
 	// Guards the effect rule: without its key a repeat cannot be told from another request.
-	if r.Key == "" && g.keyed(r.Class) {
+	if r.Key == "" && r.keyed() {
 		g.answer(r, Answer{Outcome: Failed})
 		return
 	}
 	// Guards the memory: nothing is held for longer than any client of the class waits.
-	if c := g.class(r.Class); c != nil && c.Deadline > 0 {
+	if c := r.class; c != nil && c.Deadline > 0 {
 		if last := g.cfg.Loop.Now().Add(c.Deadline); r.Deadline.After(last) {
 			r.Deadline = last
 		}
@@ -179,9 +183,13 @@
 }
 
 func (g *Gateway) direct(r *Request) {
-	g.handle(event{request: r, where: r.where, Event: control.Request{ID: r.id, Class: r.Class, Tenant: r.Tenant,
+	var rules *control.Class
+	if r.class != g.class(r.Class) { // others hold by now
+		rules = r.class
+	}
+	g.handle(event{request: r, where: r.where, Event: control.Request{Rules: rules, ID: r.id, Class: r.Class, Tenant: r.Tenant,
 		Object: r.Object, Part: r.Part, Group: r.Group, SizeKB: r.SizeKB * cmp.Or(g.cfg.ToldKB, 1), Deadline: g.Clock(r.Deadline), Retry: r.Retry,
-		Write: !g.safe(r.Class)}})
+		Write: !r.safe()}})
 }
 
 // Abandon says that the client left: nothing is owed to it, and what is out for it is given up.
@@ -201,7 +209,7 @@
 	if r.answered {
 		return
 	}
-	harmless := g.safe(r.Class)
+	harmless := r.safe()
 	g.answer(r, Answer{Outcome: Expired, Harmless: harmless, RetryAfter: g.cfg.Settings.MaxRetryAfter / 2})
 	g.handle(event{where: r.where, Event: control.Gone{ID: r.id}})
 	g.giveUp(r)
@@ -217,17 +225,11 @@
 	return nil
 }
 
-// safe says whether a class's requests may be repeated freely. An unknown class never runs.
-func (g *Gateway) safe(class string) bool {
-	c := g.class(class)
-	return c == nil || c.Effect == control.Safe
-}
+// safe says whether the request may be repeated freely. One of an unknown class never runs.
+func (r *Request) safe() bool { return r.class == nil || r.class.Effect == control.Safe }
 
-// keyed says whether a class's requests carry a key.
-func (g *Gateway) keyed(class string) bool {
-	c := g.class(class)
-	return c != nil && c.Effect == control.Keyed
-}
+// keyed says whether the request must carry a key.
+func (r *Request) keyed() bool { return r.class != nil && r.class.Effect == control.Keyed }
 
 // giveUp ends the attempts of a request that nobody waits for.
 func (g *Gateway) giveUp(r *Request) {
@@ -319,11 +321,11 @@
 		}
 		if res.Dropped {
 			ans = Answer{Outcome: Failed}
-			if g.safe(r.Class) {
+			if r.safe() {
 				ans = Answer{Outcome: Refused, RetryAfter: g.later(r), Harmless: true}
 			}
 			g.Load.NoMemory++
-		} else if r.Client != nil && g.safe(r.Class) && !g.memory.Fits(r.Client.part, len(res.Body)) {
+		} else if r.Client != nil && r.safe() && !g.memory.Fits(r.Client.part, len(res.Body)) {
 			// It is longer than expected, and there is no memory for it until others have been read.
 			g.Load.NoMemory++
 			ans = Answer{Outcome: Refused, RetryAfter: g.later(r), Harmless: true}
@@ -458,7 +460,7 @@
 	g.Counters.Attempts++
 	at.timer = g.cfg.Loop.At(at.Expiry, func() { g.cancel(at, control.TimedOut) })
 	g.went(at)
-	if most := g.cfg.Settings.MaxAttempts; most > 0 && len(r.attempts) > most { // of several directors together
+	if most := r.maxAttempts; most > 0 && len(r.attempts) > most { // of several directors together
 		g.Ended(at, Result{Status: control.NotSent})
 		return
 	}
--- a/gateway/intake.go
+++ b/gateway/intake.go
@@ -34,14 +34,13 @@
 // intake is the part of a gateway that stands before the director: who comes in, who waits, who is shed. It feeds
 // package overload, which decides, and carries out what that says.
 type intake struct {
-	door   *overload.Door
-	order  *overload.Order
-	queue  *overload.Queue
-	spare  *overload.Queue // refusals that take work: they come when nothing else does, or have waited for long
-	ruler  *overload.Controller
-	pulse  *overload.Pulse
-	memory *overload.Memory
-	health overload.Health
+	admissions admissions
+	queue      *overload.Queue
+	spare      *overload.Queue // refusals that take work: they come when nothing else does, or have waited for long
+	ruler      *overload.Controller
+	pulse      *overload.Pulse
+	memory     *overload.Memory
+	health     overload.Health
 
 	lost     time.Duration // to stalls of the host
 	turning  bool          // a front's work has its turn
@@ -79,10 +78,7 @@
 // guard makes the intake.
 func (g *Gateway) guard() error {
 	c := g.cfg.Overload
-	c.Classes, c.Fronts = nil, int(fronts)
-	for _, k := range g.cfg.Settings.Classes {
-		c.Classes = append(c.Classes, overload.Class{Name: k.Name, Worth: k.Worth})
-	}
+	c.Classes, c.Fronts = overloadClasses(g.cfg.Settings.Classes), int(fronts)
 	if c.LaterMost == 0 {
 		c.LaterMost = g.cfg.Settings.MaxRetryAfter
 	}
@@ -96,13 +92,13 @@
 		c.Wait = overload.DefaultWait
 	}
 	g.cfg.Overload = c
-	g.order = overload.NewOrder(c.Classes, c.RepeatsFirst)
+	order := overload.NewOrder(c.Classes, c.RepeatsFirst)
 	var err error
-	if g.ruler, err = overload.NewController(c, g.order); err != nil {
+	if g.ruler, err = overload.NewController(c, order); err != nil {
 		return fmt.Errorf("gateway: %w", err)
 	}
-	g.door = overload.NewDoor(g.order.Bands(), c.Fronts)
-	g.queue = overload.NewQueue(g.order.Bands(), c.Fronts, c.Wait)
+	g.admissions.use(&admission{order: order, door: overload.NewDoor(order.Bands(), c.Fronts)})
+	g.queue = overload.NewQueue(order.Bands(), c.Fronts, c.Wait)
 	g.spare = overload.NewQueue(1, c.Fronts, c.Wait/spareShare)
 	g.pulse = overload.NewPulse(c.Tick, c.StallLeast)
 	g.memory = overload.NewMemory(c.Memory)
@@ -120,7 +116,8 @@
 // client is to be told so, and when to come back. It may be called from any goroutine. A request that was let in
 // carries Admitted.
 func (g *Gateway) Try(f Front, class []byte, repeat bool, id []byte) (later time.Duration, ok bool) {
-	later, ok = g.door.Try(int(f), g.order.BandOf(class, repeat), xxhash.Sum64(id))
+	a := g.admissions.current.Load()
+	later, ok = a.door.Try(int(f), a.order.BandOf(class, repeat), xxhash.Sum64(id))
 	if !g.cfg.Settings.RetryAdvice {
 		later = 0
 	}
@@ -149,9 +146,9 @@
 
 // queueUp has a request wait for its turn, or sheds it.
 func (g *Gateway) queueUp(r *Request) {
-	r.band = g.order.Band(r.Class, r.Retry)
+	r.band = g.order().Band(r.Class, r.Retry)
 	if !r.Admitted {
-		if later, ok := g.door.Try(int(r.Front), r.band, xxhash.Sum64String(r.Ref)); !ok {
+		if later, ok := g.door().Try(int(r.Front), r.band, xxhash.Sum64String(r.Ref)); !ok {
 			g.shed(r, later)
 			return
 		}
@@ -188,6 +185,7 @@
 // value waits for nothing.
 type Turn struct {
 	place overload.Item
+	class string
 	band  int
 	run   func(late bool)
 }
@@ -196,7 +194,7 @@
 // for its requests takes no more of the loop than its share. late says that it has waited for too long: the request is
 // to be refused. The request that f submits is to be Admitted, and begins at once.
 func (g *Gateway) Wait(t *Turn, front Front, class string, came time.Time, f func(late bool)) {
-	t.band, t.run = g.order.Band(class, false), f
+	t.class, t.band, t.run = class, g.order().Band(class, false), f
 	t.place.Value = t
 	g.queue.Push(&t.place, t.band, int(front), g.Clock(came))
 }
@@ -236,10 +234,10 @@
 		g.sample.Oldest = max(g.sample.Oldest, g.queue.Limit(now))
 		switch v := i.Value.(type) {
 		case *Request:
-			g.sample.Expired += g.order.Cost(v.band)
+			g.sample.Expired += g.order().Cost(v.band)
 			g.shed(v, g.later(v))
 		case *Turn:
-			g.sample.Expired += g.order.Cost(v.band)
+			g.sample.Expired += g.order().Cost(v.band)
 			v.run(true)
 		}
 	}
@@ -251,14 +249,14 @@
 	_ = g.Load.Waits.RecordValue(waited.Microseconds())
 	g.sample.Oldest = max(g.sample.Oldest, waited)
 	if t, ok := i.Value.(*Turn); ok {
-		g.sample.Started += g.order.Cost(t.band)
+		g.sample.Started += g.order().Cost(t.band)
 		g.turning = true
 		t.run(false)
 		g.turning = false
 		return g.queue.Len() > 0
 	}
 	r := i.Value.(*Request)
-	g.sample.Started += g.order.Cost(r.band)
+	g.sample.Started += g.order().Cost(r.band)
 	g.start(r)
 	return g.queue.Len() > 0
 }
@@ -327,7 +325,7 @@
 // echo asks how late reading is, if anything was offered since it last did. Guards against an overload that no queue
 // shows: what has come lies in the sockets.
 func (g *Gateway) echo(now time.Time) {
-	if n := g.door.Total(); g.cfg.Echo == nil || !g.echoed.IsZero() || n == g.offered {
+	if n := g.door().Total(); g.cfg.Echo == nil || !g.echoed.IsZero() || n == g.offered {
 		return
 	} else {
 		g.offered = n
@@ -370,7 +368,7 @@
 	s.Grace = g.queue.Grace(g.now())
 	s.Waiting = g.queue.Waiting()
 	s.Behind, s.Pressure = g.behind, g.memory.Pressure()
-	g.door.Set(g.ruler.Tick(*s, g.door))
+	g.door().Set(g.ruler.Tick(*s, g.door()))
 	*s = overload.Sample{}
 	g.behind = 0
 	g.tier()
@@ -415,11 +413,9 @@
 		all = append(all, v)
 	}
 	for f := range fronts {
-		for b := range g.order.Bands() {
-			if n := g.door.Shed(int(f), b); n > 0 {
-				add(metrics.Counter, "load_shed", "Requests shed at the door, by front and band.", float64(n),
-					metrics.Label{Name: "front", Value: f.String()}, metrics.Label{Name: "band", Value: g.order.Name(b)})
-			}
+		for band, n := range g.admissions.sheds(f) {
+			add(metrics.Counter, "load_shed", "Requests shed at the door, by front and band.", float64(n),
+				metrics.Label{Name: "front", Value: f.String()}, metrics.Label{Name: "band", Value: band})
 		}
 	}
 	return all
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "larchusher/overload"
+
 // Outcomes counts the final answers to requests of one class, as their clients see them.
 type Outcomes struct {
 	Served  uint64
@@ -22,35 +24,34 @@
 // CountAnswer counts a final answer that a front gave by itself, such as the one to a request that cannot be read. Answers
 // that the gateway gives are counted by it. A class that the settings do not name is not counted.
 func (g *Gateway) CountAnswer(class string, a Answer) {
-	o := g.outcomes[class]
-	if o == nil {
-		if g.class(class) == nil {
-			return
+	if o := g.outcomes[class]; o != nil {
+		o.add(a)
+	}
+}
+
+// countClasses has the classes of the settings counted. Those of former settings are counted on.
+func (g *Gateway) countClasses() {
+	for _, c := range g.cfg.Settings.Classes {
+		if g.outcomes[c.Name] == nil {
+			g.outcomes[c.Name] = &Outcomes{}
 		}
-		o = &Outcomes{}
-		g.outcomes[class] = o
 	}
-	o.add(a)
 }
 
-// Outcomes returns the final answers so far for each class of the settings, with those refused at the door.
+// Outcomes returns the final answers so far for each class that the settings name or have named, with those
+// refused at the door.
 func (g *Gateway) Outcomes() map[string]Outcomes {
 	all := map[string]Outcomes{}
-	for _, c := range g.cfg.Settings.Classes {
-		all[c.Name] = Outcomes{}
-	}
 	for class, o := range g.outcomes {
 		all[class] = *o
 	}
 	for front := range fronts {
-		for band := range g.order.Bands() {
-			class, known := g.order.Class(band)
-			if !known {
-				continue
+		for band, n := range g.admissions.sheds(front) {
+			class := overload.ClassOf(band)
+			if o, known := all[class]; known {
+				o.Refused += n
+				all[class] = o
 			}
-			o := all[class]
-			o.Refused += g.door.Shed(int(front), band)
-			all[class] = o
 		}
 	}
 	return all
--- a/gateway/places.go
+++ b/gateway/places.go
@@ -94,7 +94,7 @@
 	if err := g.tiers.Use(g.tierBands(cfg)); err != nil {
 		return fmt.Errorf("gateway: %w", err)
 	}
-	g.tierTick = tierTick(cfg)
+	g.cfg.Tiers, g.tierTick = &cfg, tierTick(cfg)
 	return nil
 }
 
@@ -135,7 +135,7 @@
 
 // straight says that a request goes past all localities.
 func (g *Gateway) straight(r *Request) bool {
-	c := g.class(r.Class)
+	c := r.class
 	return c == nil || c.NeverKept && g.cfg.Settings.PassBy
 }
 
@@ -153,12 +153,12 @@
 		return false
 	}
 	now := g.cfg.Loop.Now()
-	refusal := tiers.Refusal{From: where, Safe: g.safe(r.Class), Moved: r.moved, Attempts: len(r.attempts), Most: g.cfg.Settings.MaxAttempts,
+	refusal := tiers.Refusal{From: where, Safe: r.safe(), Moved: r.moved, Attempts: len(r.attempts), Most: r.maxAttempts,
 		Left: r.Deadline.Sub(now)}
 	if !r.Arrived.IsZero() {
 		refusal.Waited = now.Sub(r.Arrived)
 	}
-	if c := g.class(r.Class); c != nil {
+	if c := r.class; c != nil {
 		refusal.Aim = c.Aim
 	}
 	to, ok := g.tiers.Refused(g.runningClock(), refusal)
@@ -183,7 +183,7 @@
 		return
 	}
 	cache, late, load := g.roster.Cache(a.Server, a.where), false, -1.0
-	if c := g.class(a.Request.Class); c != nil && res.Status == control.OK {
+	if c := a.Request.class; c != nil && res.Status == control.OK {
 		aim := c.Aim + time.Duration(c.AimStretch*float64(g.cfg.Settings.Sending(float64(len(res.Body))/1000)))
 		late = res.At.Sub(a.sent)-(g.lost-a.lost) > aim
 	}
--- /dev/null
+++ b/gateway/reconfigure.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"larchusher/control"
+	"larchusher/overload"
+)
+
+// retiredFor is for how long requests of a class that a new configuration drops are still served by its old rules: clients
+// learn of new settings some time after the gateway does.
+const retiredFor = 3 * time.Second
+
+// admission is what requests pass before they wait for their turn: how classes are ranked, and the door. It never changes;
+// new classes bring another. It is read on whatever goroutine reads requests.
+type admission struct {
+	order *overload.Order
+	door  *overload.Door
+}
+
+// admissions are the present admission and what earlier ones counted.
+type admissions struct {
+	current atomic.Pointer[admission]
+	former  *admission                // the one before: a goroutine may still be in the middle of using it
+	shed    [fronts]map[string]uint64 // by band's name, of those before that
+}
+
+// use puts another admission in place of the present one.
+func (a *admissions) use(next *admission) {
+	if a.former != nil {
+		for front := range fronts {
+			if a.shed[front] == nil {
+				a.shed[front] = map[string]uint64{}
+			}
+			a.former.addShed(front, a.shed[front])
+		}
+	}
+	a.former = a.current.Swap(next)
+}
+
+// addShed adds what one front shed to a sum by the names of bands.
+func (a *admission) addShed(front Front, sum map[string]uint64) {
+	for band := range a.order.Bands() {
+		if n := a.door.Shed(int(front), band); n > 0 {
+			sum[a.order.Name(band)] += n
+		}
+	}
+}
+
+// sheds returns what a front has shed since the start, by the names of bands.
+func (a *admissions) sheds(front Front) map[string]uint64 {
+	sum := map[string]uint64{}
+	for name, n := range a.shed[front] {
+		sum[name] += n
+	}
+	if a.former != nil {
+		a.former.addShed(front, sum)
+	}
+	a.current.Load().addShed(front, sum)
+	return sum
+}
+
+// Classes returns the classes whose requests are served at present, retired ones among them.
+func (g *Gateway) Classes() []control.Class { return g.cfg.Settings.Classes }
+
+// Reconfigure has other classes and another limit on attempts (0: none) hold for requests that come from now on. Those that
+// are open keep the rules by which they came. A class that is served and not among the new ones is served on for a short
+// while. On an error all stays as it was.
+func (g *Gateway) Reconfigure(classes []control.Class, maxAttempts int) error {
+	if err := control.CheckClasses(classes); err != nil {
+		return fmt.Errorf("gateway: %w", err)
+	}
+	served := slices.Clone(classes)
+	for _, c := range g.cfg.Settings.Classes {
+		if !slices.ContainsFunc(classes, func(other control.Class) bool { return other.Name == c.Name }) {
+			served = append(served, c)
+		}
+	}
+	g.retirement.Stop()
+	if err := g.useClasses(served, maxAttempts); err != nil {
+		return err
+	}
+	if len(served) > len(classes) {
+		g.retirement = g.cfg.Loop.After(retiredFor, func() {
+			if err := g.useClasses(classes, maxAttempts); err != nil {
+				g.cfg.Log.WithError(err).Error("classes that were dropped are still served")
+			}
+		})
+	}
+	return nil
+}
+
+// useClasses has classes served from now on.
+func (g *Gateway) useClasses(classes []control.Class, maxAttempts int) error {
+	cfg := g.cfg.Overload
+	cfg.Classes = overloadClasses(classes)
+	order := overload.NewOrder(cfg.Classes, cfg.RepeatsFirst)
+	ruler, err := overload.NewController(cfg, order)
+	if err != nil {
+		return fmt.Errorf("gateway: %w", err)
+	}
+	// A new slice: requests that are open point into the old one.
+	g.cfg.Settings.Classes, g.cfg.Settings.MaxAttempts = slices.Clone(classes), maxAttempts
+	g.cfg.Overload, g.ruler = cfg, ruler
+	g.countClasses()
+	g.admissions.use(&admission{order: order, door: overload.NewDoor(order.Bands(), int(fronts))})
+	g.queue = g.queue.Rebanded(order.Bands(), g.band)
+	g.handleAll(control.Reconfigured{Classes: g.cfg.Settings.Classes, MaxAttempts: maxAttempts})
+	if g.tiers == nil {
+		return nil
+	}
+	return g.tiers.Use(g.tierBands(*g.cfg.Tiers))
+}
+
+// band ranks what waits for its turn anew.
+func (g *Gateway) band(waits any) int {
+	switch w := waits.(type) {
+	case *Request:
+		w.band = g.order().Band(w.Class, w.Retry)
+		return w.band
+	case *Turn:
+		w.band = g.order().Band(w.class, false)
+		return w.band
+	}
+	return g.order().Bands() - 1
+}
+
+// order ranks the classes that are served at present.
+func (g *Gateway) order() *overload.Order { return g.admissions.current.Load().order }
+
+// door is the present door.
+func (g *Gateway) door() *overload.Door { return g.admissions.current.Load().door }
+
+// overloadClasses is what package overload needs to know of classes.
+func overloadClasses(classes []control.Class) (all []overload.Class) {
+	for _, c := range classes {
+		all = append(all, overload.Class{Name: c.Name, Worth: c.Worth})
+	}
+	return all
+}
--- a/gateway/types.go
+++ b/gateway/types.go
@@ -36,6 +36,9 @@
 	Client   *Client // whose answers it adds to; nil: they take no memory for long
 	Keeps    bool    // the answer's body is used after Answer has returned
 
+	class       *control.Class // as it was when the request came; nil: the settings do not name it
+	maxAttempts int            // likewise; 0: no limit
+
 	place    overload.Item
 	band     int
 	reserved int64 // memory set aside for the answer
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
-	"reflect"
 	"strconv"
 	"time"
 
@@ -97,6 +96,8 @@
 	Seed     uint64           `json:"-"`
 	Settings control.Settings `json:"-"`
 	Sockets  wire.Sockets     `json:"-"`
+
+	layout layout
 }
 
 // Load reads the configuration that the environment names: the file in BALANCER_CONFIG, over which
@@ -160,6 +161,9 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	c.Raw = nil
+	if c.layout, err = layoutOf(data); err != nil {
+		return nil, err
+	}
 	if err := c.directors(); err != nil {
 		return nil, err
 	}
@@ -221,23 +225,6 @@
 	return nil
 }
 
-// Fixed names the keys in which a newer configuration differs that are taken in at the start only. Of the rest,
-// the journal's address may change at any time, and what is known is told anew by the journal.
-func (c *Gateway) Fixed(newer *Gateway) (keys []string) {
-	for _, k := range [...]struct {
-		key      string
-		old, new any
-	}{{"name", c.Name, newer.Name}, {"listen", c.Listen, newer.Listen}, {"console", c.Console, newer.Console}, {"limits", c.Limits, newer.Limits},
-		{"peer_listen", c.PeerListen, newer.PeerListen}, {"peers", c.Peers, newer.Peers},
-		{"peers_all", c.PeersAll, newer.PeersAll}, {"seed", c.SeedText, newer.SeedText},
-		{"settings", []any{c.Settings, c.Sockets}, []any{newer.Settings, newer.Sockets}}} {
-		if !reflect.DeepEqual(k.old, k.new) {
-			keys = append(keys, k.key)
-		}
-	}
-	return keys
-}
-
 func orDefault[T int | float64 | time.Duration](v *T, d T) {
 	if *v == 0 {
 		*v = d
--- /dev/null
+++ b/internal/config/reload.go
@@ -0,0 +1,131 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"larchusher/control"
+)
+
+// layout is which keys a configuration has: a reload is not to lose one. A file that is cut short, or was written half, may
+// still be valid JSON, and what it lacks would silently become a default.
+type layout struct {
+	keys    []string // of objects within objects, as paths with dots between names
+	classes []string // that each element of settings.classes has
+}
+
+// classesKey is the list whose elements come and go.
+const classesKey = "settings.classes"
+
+// layoutOf reads which keys a configuration has.
+func layoutOf(data []byte) (l layout, err error) {
+	var root map[string]any
+	if err := json.Unmarshal(data, &root); err != nil {
+		return l, err
+	}
+	l.add("", root)
+	slices.Sort(l.keys)
+	settings, _ := root["settings"].(map[string]any)
+	classes, _ := settings["classes"].([]any)
+	for i, c := range classes {
+		fields, _ := c.(map[string]any)
+		if i == 0 {
+			for name := range fields {
+				l.classes = append(l.classes, name)
+			}
+			slices.Sort(l.classes)
+			continue
+		}
+		l.classes = slices.DeleteFunc(l.classes, func(name string) bool { _, has := fields[name]; return !has })
+	}
+	return l, nil
+}
+
+// add notes the keys of an object.
+func (l *layout) add(path string, object map[string]any) {
+	for name, value := range object {
+		key := path + name
+		l.keys = append(l.keys, key)
+		if inner, ok := value.(map[string]any); ok {
+			l.add(key+".", inner)
+		}
+	}
+}
+
+// lost names the first key that a newer configuration lacks; empty: none. What is known of stores is told anew by the
+// journal, so it may be missing.
+func (l layout) lost(newer layout) string {
+	for _, key := range l.keys {
+		if _, found := slices.BinarySearch(newer.keys, key); !found && key != "known" && !strings.HasPrefix(key, "known.") {
+			return key
+		}
+	}
+	return ""
+}
+
+// lostOfClasses is lost for the elements of the list of classes.
+func (l layout) lostOfClasses(newer layout) string {
+	for _, name := range l.classes {
+		if !slices.Contains(newer.classes, name) {
+			return classesKey + "[]." + name
+		}
+	}
+	return ""
+}
+
+// CheckReload says why a newer configuration may not take the place of c while the program runs; nil: it may. It is
+// stricter than a start: what was there must still be, and the figures that bound each request must be positive.
+func (c *Gateway) CheckReload(newer *Gateway) error {
+	if key := c.layout.lost(newer.layout); key != "" {
+		return missing(key)
+	}
+	if newer.Settings.MaxAttempts <= 0 {
+		return fmt.Errorf("settings.limits.sendCap: %d is not positive", newer.Settings.MaxAttempts)
+	}
+	if err := control.CheckClasses(newer.Settings.Classes); err != nil {
+		return err
+	}
+	if key := c.layout.lostOfClasses(newer.layout); key != "" {
+		return missing(key)
+	}
+	for i, k := range newer.Settings.Classes {
+		switch {
+		case k.Deadline <= 0:
+			return fmt.Errorf("settings.classes[%d].hardLimitMs: %v of class %s is not positive", i, k.Deadline, k.Name)
+		case k.Aim < 0 || k.AimStretch < 0 || k.Worth < 0 || k.Window < 0:
+			return fmt.Errorf("settings.classes[%d]: a figure of class %s is negative", i, k.Name)
+		}
+	}
+	return nil
+}
+
+func missing(key string) error {
+	return fmt.Errorf("%s: missing, and the configuration in use has it", key)
+}
+
+// Fixed names the keys in which a newer configuration differs that are taken in at the start only. Of the rest, the
+// journal's address, the classes and the limit on attempts may change at any time, and what is known is told anew by the
+// journal.
+func (c *Gateway) Fixed(newer *Gateway) (keys []string) {
+	for _, k := range [...]struct {
+		key      string
+		old, new any
+	}{{"name", c.Name, newer.Name}, {"listen", c.Listen, newer.Listen}, {"console", c.Console, newer.Console}, {"limits", c.Limits, newer.Limits},
+		{"peer_listen", c.PeerListen, newer.PeerListen}, {"peers", c.Peers, newer.Peers},
+		{"peers_all", c.PeersAll, newer.PeersAll}, {"seed", c.SeedText, newer.SeedText},
+		{"settings", []any{fixedSettings(c.Settings), c.Sockets}, []any{fixedSettings(newer.Settings), newer.Sockets}}} {
+		if !reflect.DeepEqual(k.old, k.new) {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
+// fixedSettings is the part of the settings that is taken in at the start only.
+func fixedSettings(s control.Settings) control.Settings {
+	s.Classes, s.MaxAttempts = nil, 0
+	return s
+}
--- a/internal/net/msgpackrpc/front.go
+++ b/internal/net/msgpackrpc/front.go
@@ -43,7 +43,7 @@
 	tenants *transport.Tenants
 	shut    bool // Shut was called
 
-	classes map[string]string // names, so that each is held once
+	classes atomic.Pointer[map[string]string] // names, so that each is held once
 
 	Malformed uint64 // connections closed for what they sent
 	Excess    uint64 // requests beyond those that a connection may have open
@@ -51,15 +51,21 @@
 
 // New returns a front for so many connections. Its Accept makes the handlers of a listener.
 func New(loop *gateway.Loop, g *gateway.Gateway, classes []string, most int, log logrus.FieldLogger) *Front {
-	f := &Front{loop: loop, gateway: g, log: log, conns: map[*conn]bool{}, tenants: transport.NewTenants(most),
-		classes: map[string]string{}}
-	for _, c := range classes {
-		f.classes[c] = c
-	}
+	f := &Front{loop: loop, gateway: g, log: log, conns: map[*conn]bool{}, tenants: transport.NewTenants(most)}
+	f.UseClasses(classes)
 	loop.After(sweep, f.sweep)
 	return f
 }
 
+// UseClasses takes in the names of the classes that are served. It may be called from anywhere.
+func (f *Front) UseClasses(names []string) {
+	classes := make(map[string]string, len(names))
+	for _, name := range names {
+		classes[name] = name
+	}
+	f.classes.Store(&classes)
+}
+
 // Accept returns the callbacks of a new connection.
 func (f *Front) Accept() transport.Handler {
 	return &conn{front: f, open: map[uint64]*gateway.Request{}}
@@ -331,7 +337,7 @@
 	case string(m.method) == "alive":
 		return word{kind: wordAlive, id: m.id}
 	}
-	class, ok := c.front.classes[string(m.method)] // makes no string
+	class, ok := (*c.front.classes.Load())[string(m.method)] // makes no string
 	if !ok {
 		class = string(m.method)
 	}
--- a/internal/net/resp/pool.go
+++ b/internal/net/resp/pool.go
@@ -76,6 +76,9 @@
 	return p
 }
 
+// AllowWhole sets how long an answer that has begun may take to come whole.
+func (p *Pool) AllowWhole(d time.Duration) { p.cfg.Whole = d }
+
 // store is one member of the list. Connections belong to it, not to its address: addresses are reused.
 type store struct {
 	id, addr string
--- a/overload/order.go
+++ b/overload/order.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -152,21 +153,19 @@
 	return o.costs[band/2]
 }
 
-// Class is the class of a band; false: it is that of unknown classes.
-func (o *Order) Class(band int) (string, bool) {
-	if band/2 >= len(o.names) {
-		return "", false
-	}
-	return o.names[band/2], true
-}
-
 // Name is a band's, for counters: its class, with "+repeat" for repeats.
 func (o *Order) Name(band int) string {
 	if band/2 >= len(o.names) {
 		return "unknown"
 	}
 	if (band%2 == 1) != o.repeatsFirst {
-		return o.names[band/2] + "+repeat"
+		return o.names[band/2] + repeatSuffix
 	}
 	return o.names[band/2]
 }
+
+// repeatSuffix ends the names of bands for clients' repeats.
+const repeatSuffix = "+repeat"
+
+// ClassOf is the class in a band's name.
+func ClassOf(band string) string { return strings.TrimSuffix(band, repeatSuffix) }
--- a/overload/queue.go
+++ b/overload/queue.go
@@ -67,6 +67,19 @@
 	return q
 }
 
+// Rebanded moves all that wait to a queue of as many bands as there are now, each to the band that is given for its Value,
+// and returns that queue. What waits keeps its order within a band and front, and the time that it has waited.
+func (q *Queue) Rebanded(bands int, band func(value any) int) *Queue {
+	next := NewQueue(bands, len(q.bands[0]), q.wait)
+	next.lost, next.grace, next.until = q.lost, q.grace, q.until
+	for i := q.Pop(); i != nil; i = q.Pop() {
+		lost := i.lost
+		next.Push(i, band(i.Value), i.front, i.came)
+		i.lost = lost
+	}
+	return next
+}
+
 // Len is how many wait.
 func (q *Queue) Len() int { return q.size }
 
