A second process takes over from the one that serves: no request lost, state handed over

Cause (upgrade): the second process ended since the peers' address was in use; the first had no way to leave its clients to it. Change: internal/handover (locks and the state's file), SO_REUSEPORT on all shared addresses, transport.Listener.Yield, Front.EndIdle, control.PauseCold, shares of 0.4 while both run.

--- a/cmd/larchusher/serve.go
+++ b/cmd/larchusher/serve.go
@@ -14,6 +14,7 @@
 	"larchusher/gateway"
 	"larchusher/internal/config"
 	"larchusher/internal/fleethost"
+	"larchusher/internal/handover"
 	"larchusher/internal/metrics"
 	"larchusher/internal/net/agentcheck"
 	"larchusher/internal/net/journal"
@@ -56,6 +57,11 @@
 	fleet  *fleethost.Host    // nil: this gateway is alone
 	left   func()             // to be called once all is answered; nil: nobody waits for that
 	accept []*transport.Listener
+	book   *journal.Book
+
+	process *handover.Process   // nil: no other process of this gateway can take over
+	since   string              // fingerprint of the journal's events at the start
+	clients *transport.Listener // of the platform's front
 
 	signedAt *transport.Listener // where the signed front listens
 	retired  bool                // a reload has ended that front
@@ -93,7 +99,6 @@
 	// Two, so that a poller waiting in the kernel never holds up the loop's timers; what they may use of the
 	// core is the platform's to say.
 	runtime.GOMAXPROCS(max(2, int(cfg.Limits.Cores)))
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 6 / 10)
 	// Garbage is let grow where there is memory for it: collecting took a fifth of the time at full load.
 	debug.SetGCPercent(min(400, max(100, 2*cfg.Limits.MemoryMB)))
 
@@ -101,6 +106,15 @@
 	for _, n := range cfg.Notes {
 		p.log.Warn(n)
 	}
+	p.setMemory(1)
+	p.since = fingerprint(cfg.Known)
+	if err := p.joinHandover(); err != nil {
+		return err
+	}
+	if p.process != nil {
+		defer p.process.Close()
+	}
+	known, learned := p.takeState()
 	if p.engine, err = transport.New(p.log, cfg.Limits.MemoryMB<<20/4); err != nil {
 		return err
 	}
@@ -133,14 +147,15 @@
 	if err := p.openConsole(); err != nil {
 		return err
 	}
-	book := &journal.Book{Sink: sink{p.gw, p.pool}, Clock: p.gw.Clock}
-	if err := book.Start(time.Now(), cfg.Known); err != nil {
+	p.book = &journal.Book{Sink: sink{p.gw, p.pool}, Clock: p.gw.Clock}
+	if err := p.book.Start(time.Now(), known); err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
 	if op.State != nil {
 		p.remember()
 	}
-	p.feed = journal.Follow(p.loop, p.engine, p.log, cfg.Journal, book, cfg.Known.Pos)
+	p.loop.Post(func() { p.followHandover(learned) }) // before anything that clients ask for
+	p.feed = journal.Follow(p.loop, p.engine, p.log, cfg.Journal, p.book, known.Pos)
 	cfg.Known = journal.Known{} // all of it has been taken in
 	if op.Fleet != nil {
 		if p.fleet, err = fleethost.Start(op.Fleet, cfg.Settings, p.gw, p.loop, p.engine, p.log); err != nil {
@@ -157,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	p.accept = append(p.accept, l)
+	p.accept, p.clients = append(p.accept, l), l
 	if err := p.others(); err != nil {
 		return err
 	}
@@ -280,6 +295,10 @@
 	if p.keeper != nil {
 		p.keeper.Final(p.gw.Clock(p.loop.Now()))
 	}
+	if p.succeeded() {
+		p.yield()
+		return
+	}
 	began := p.loop.Now()
 	p.loop.After(graceAfterTerm, func() {
 		for _, l := range p.accept {
--- /dev/null
+++ b/cmd/larchusher/upgrade.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"larchusher/internal/handover"
+	"larchusher/internal/net/journal"
+	"larchusher/knowledge"
+)
+
+// An upgrade: a new process of a gateway starts beside the one that serves, takes over its state, and serves beside it until
+// that one is sent SIGTERM and has answered what is open.
+
+const (
+	stateWithin   = time.Second           // for which a new process waits for the state of the one that serves
+	overlapShare  = 0.4                   // of its descriptors and memory that each process may use while both run
+	listingsMost  = 20000                 // listings that are handed over
+	queueWithin   = 50 * time.Millisecond // until what the kernel had accepted is known to the fronts
+	closeIdleTick = 5 * time.Millisecond  // between two looks for connections that can end
+	stateFormat   = 1                     // of handedState; another one is not used
+	memoryPart    = 0.6                   // of the limit on memory at which garbage is collected at once
+)
+
+// handedState is what a process hands over to its successor.
+type handedState struct {
+	Format  int
+	Known   journal.Known       // the present list of stores, and the latest event taken in
+	Since   string              // fingerprint of the journal's events that this process was started with
+	Learned *knowledge.Snapshot // nil: none
+}
+
+// fingerprint tells the journal's events of one start from those of another: they are numbered from 1 in each.
+func fingerprint(known journal.Known) string {
+	b, err := json.Marshal(known)
+	if err != nil { // it was read from JSON
+		return ""
+	}
+	return strconv.FormatUint(xxhash.Sum64(b), 16)
+}
+
+// joinHandover finds out whether another process of this gateway serves. Where the folder can't be used the program goes
+// without: a new process then starts as if the other one were none of its business.
+func (p *program) joinHandover() error {
+	addr, err := netip.ParseAddrPort(p.cfg.Listen)
+	if err != nil || addr.Port() == 0 { // whoever draws its port has no address in common with anybody
+		return nil
+	}
+	name := fmt.Sprintf("larchusher-%d-%x", os.Geteuid(), xxhash.Sum64String(p.cfg.Listen))
+	p.process, err = handover.Join(filepath.Join(os.TempDir(), name))
+	switch {
+	case errors.Is(err, handover.ErrThird):
+		return err
+	case err != nil:
+		p.log.WithError(err).Warn("upgrade: no state will be handed over")
+		return nil
+	}
+	if p.process.Successor() && p.op.Fleet != nil {
+		p.process.Close()
+		return errors.New("fleet: another process of this gateway runs, and would be the same member: end it first")
+	}
+	return nil
+}
+
+// takeState takes over the state of the process that serves, if there is one, and returns the list of stores to start with.
+func (p *program) takeState() (known journal.Known, learned *knowledge.Snapshot) {
+	known = p.cfg.Known
+	if p.process == nil || !p.process.Successor() {
+		return known, nil
+	}
+	p.setMemory(overlapShare)
+	data, err := p.process.Request(stateWithin)
+	var state handedState
+	if err == nil {
+		err = json.Unmarshal(data, &state)
+	}
+	switch {
+	case err != nil:
+		p.log.WithError(err).Warn("upgrade: starting without the state of the process that serves")
+		return known, nil
+	case state.Format != stateFormat:
+		p.log.WithField("format", state.Format).Warn("upgrade: the state of the process that serves is of another format")
+		return known, nil
+	case state.Since == fingerprint(p.cfg.Known) && state.Known.Pos >= known.Pos:
+		known = state.Known
+	}
+	p.log.WithField("after", known.Pos).Info("upgrade: taking over from the process that serves")
+	return known, state.Learned
+}
+
+// followHandover takes in what the former process had learned, has this one use all of its shares once it is alone, and
+// answers its own successor.
+func (p *program) followHandover(learned *knowledge.Snapshot) {
+	if p.process == nil {
+		return
+	}
+	if learned != nil {
+		p.log.Infof("upgrade: what was learned: %v", p.gw.Recall(learned, p.cfg.Name, p.cfg.Fingerprint()))
+	}
+	if p.process.Successor() {
+		p.useShares(overlapShare)
+		p.gw.PauseCold(p.cfg.Settings.FallFor)
+		p.process.AwaitAlone(func() {
+			p.loop.Post(func() {
+				p.log.Info("upgrade: the former process has ended")
+				p.useShares(1)
+			})
+		})
+	}
+	p.process.Watch(func(answer func([]byte) error) {
+		p.loop.Post(func() { p.handState(answer) })
+	}, func() {
+		p.loop.Post(func() {
+			p.log.Warn("upgrade: the new process has ended; going on")
+			p.useShares(1)
+			p.gw.PauseCold(p.cfg.Settings.FallFor)
+		})
+	})
+}
+
+// handState hands this process's state to its successor. From this moment on the successor has the budget for cold stores.
+func (p *program) handState(answer func([]byte) error) {
+	p.log.Info("upgrade: handing over to a new process")
+	p.gw.PauseCold(-1)
+	p.useShares(overlapShare)
+	state := handedState{Format: stateFormat, Since: p.since, Known: p.book.List(p.feed.Position()),
+		Learned: &knowledge.Snapshot{Made: p.gw.Clock(p.loop.Now()), Gateway: p.cfg.Name, Settings: p.cfg.Fingerprint(),
+			Position: p.feed.Position(), Directors: p.gw.Learned(listingsMost)}}
+	go func() { // the loop waits for no file
+		data, err := json.Marshal(state)
+		if err != nil { // of a figure that JSON has no form for: the list is what matters
+			state.Learned = nil
+			data, err = json.Marshal(state)
+		}
+		if err == nil {
+			err = answer(data)
+		}
+		if err != nil {
+			p.log.WithError(err).Error("upgrade: the state is not handed over")
+		}
+	}()
+}
+
+// useShares has this process use a part of the descriptors and the memory that the program may use.
+func (p *program) useShares(part float64) {
+	scaled := func(n int) int { return max(1, int(part*float64(n))) }
+	share := p.shares()
+	p.setMemory(part)
+	p.pool.SetConns(scaled(share.Stores))
+	p.front.SetMost(scaled(share.Clients))
+	p.clients.SetMost(scaled(share.Clients))
+	if p.signed != nil {
+		p.signed.SetMost(scaled(share.Signed))
+		p.signedAt.SetMost(scaled(share.Signed))
+	}
+}
+
+func (p *program) setMemory(part float64) {
+	debug.SetMemoryLimit(int64(part * memoryPart * float64(p.cfg.Limits.MemoryMB<<20)))
+}
+
+// succeeded says whether a new process takes over from this one.
+func (p *program) succeeded() bool { return p.process != nil && p.process.Succeeded() }
+
+// yield leaves clients to the successor: nothing new is accepted, and each connection ends as soon as nothing is open on it.
+func (p *program) yield() {
+	p.log.Info("upgrade: leaving clients to the new process")
+	began := p.loop.Now()
+	for _, l := range p.accept {
+		l.Yield()
+	}
+	if p.link != nil {
+		p.link.Close()
+	}
+	if p.signed != nil {
+		p.signed.End()
+	}
+	last := began.Add(p.longest() + lastAnswers)
+	p.loop.After(queueWithin, func() { p.endIdle(last) })
+}
+
+// endIdle ends connections that are idle, and goes on until none is left or the last moment has come.
+func (p *program) endIdle(last time.Time) {
+	left := p.front.EndIdle()
+	if p.loop.Now().Before(last) && (left > 0 || p.gw.Open() > 0) {
+		p.loop.After(closeIdleTick, func() { p.endIdle(last) })
+		return
+	}
+	p.finish(last)
+}
--- a/control/control.go
+++ b/control/control.go
@@ -96,6 +96,8 @@
 		}
 	case Reconfigured:
 		d.reconfigure(ev)
+	case PauseCold:
+		d.coldPause = ev.Until
 	case Timer:
 		if ev.Token == tellToken {
 			d.tellMoves()
@@ -680,6 +682,9 @@
 	if d.warm(s) {
 		return true
 	}
+	if d.now < d.coldPause {
+		return false
+	}
 	d.gauge(s.role)
 	from := coldstart.Sender{Among: d.among(s.role), Place: d.place(s), Can: d.carried[s.role] * s.weight,
 		Does: s.recent(d.now), DoesOver: rateWindow}
--- a/control/reconfigure.go
+++ b/control/reconfigure.go
@@ -1,6 +1,9 @@
 package control
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // Reconfigured says that other classes, and another limit on attempts, hold for the requests that come from now on. Those
 // that are open keep the rules by which they came.
@@ -11,6 +14,12 @@
 
 func (Reconfigured) event() {}
 
+// PauseCold says that nothing is to be sent to stores that are cold until a time, on the director's clock: another process
+// has the budget, or had it a moment ago.
+type PauseCold struct{ Until time.Duration }
+
+func (PauseCold) event() {}
+
 // reconfigure takes in other classes. What was learned of a class goes on under its name.
 func (d *Director) reconfigure(e Reconfigured) {
 	classes := map[string]*class{}
--- a/control/state.go
+++ b/control/state.go
@@ -17,31 +17,32 @@
 
 // Director decides for one location's traffic. Use New.
 type Director struct {
-	set      Settings
-	rng      *rand.Rand
-	now      time.Duration
-	own      uint64 // drawn for this director alone
-	out      []Action
-	zone     int
-	classes  map[string]*class
-	servers  map[string]*server
-	inUse    [3][]*server // by role, those that are up, in order of id; caches of this location only
-	table    map[uint64]*entry
-	used     *list.List // the table's entries, the latest used first
-	requests map[string]*request
-	tokens   map[uint64]*request // by the token of their timers
-	token    uint64
-	spare    float64    // further attempts that recent success has earned
-	doubt    [3]float64 // by role, share of recent attempts that ended in an error of no told cause
-	copies   float64    // second copies that lost answers have earned
-	purged   *purges.Book
-	prices   limits.Prices
-	loads    balance.Fields
-	carried  [3]float64   // by role, work a second for each weight that warm ones carried for us
-	fetches  limits.Limit // fills that may go through to the origin
-	lateBy   *server      // parent of the latest late fill
-	moves    []*entry     // still to be told
-	neighbor map[int]bool // directors known to serve this location
+	set       Settings
+	rng       *rand.Rand
+	now       time.Duration
+	own       uint64 // drawn for this director alone
+	out       []Action
+	zone      int
+	classes   map[string]*class
+	servers   map[string]*server
+	inUse     [3][]*server // by role, those that are up, in order of id; caches of this location only
+	table     map[uint64]*entry
+	used      *list.List // the table's entries, the latest used first
+	requests  map[string]*request
+	tokens    map[uint64]*request // by the token of their timers
+	token     uint64
+	spare     float64    // further attempts that recent success has earned
+	doubt     [3]float64 // by role, share of recent attempts that ended in an error of no told cause
+	copies    float64    // second copies that lost answers have earned
+	purged    *purges.Book
+	prices    limits.Prices
+	loads     balance.Fields
+	carried   [3]float64    // by role, work a second for each weight that warm ones carried for us
+	fetches   limits.Limit  // fills that may go through to the origin
+	lateBy    *server       // parent of the latest late fill
+	moves     []*entry      // still to be told
+	neighbor  map[int]bool  // directors known to serve this location
+	coldPause time.Duration // nothing is sent to cold servers until then
 }
 
 type class struct {
--- a/gateway/reconfigure.go
+++ b/gateway/reconfigure.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -128,6 +129,15 @@
 	return g.order().Bands() - 1
 }
 
+// PauseCold has nothing sent to cold stores for a time from now; a negative one: until it is called again.
+func (g *Gateway) PauseCold(span time.Duration) {
+	until := time.Duration(math.MaxInt64)
+	if span >= 0 {
+		until = g.now() + span
+	}
+	g.handleAll(control.PauseCold{Until: until})
+}
+
 // order ranks the classes that are served at present.
 func (g *Gateway) order() *overload.Order { return g.admissions.current.Load().order }
 
--- a/internal/net/journal/events.go
+++ b/internal/net/journal/events.go
@@ -4,6 +4,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"larchusher/control"
@@ -91,7 +93,7 @@
 	Clock func(time.Time) time.Duration // the director's
 
 	boots map[string]boot
-	here  map[string]bool // stores that are on the list
+	here  map[string]Host // stores that are on the list
 }
 
 // boot is when a store started, on the journal's clock and on the director's. It is turned once: a start
@@ -103,7 +105,7 @@
 
 // Start takes in what is known at the start, as one stale list.
 func (b *Book) Start(now time.Time, k Known) error {
-	b.boots, b.here = map[string]boot{}, map[string]bool{}
+	b.boots, b.here = map[string]boot{}, map[string]Host{}
 	hosts := map[string]Host{}
 	var order []string
 	for _, e := range k.Entries {
@@ -137,6 +139,15 @@
 	return nil
 }
 
+// List is the present list of stores as a process could be told it at its start, after the event pos.
+func (b *Book) List(pos int64) Known {
+	list := &Hosts{Snapshot: true}
+	for _, name := range slices.Sorted(maps.Keys(b.here)) {
+		list.Endpoints = append(list.Endpoints, b.here[name])
+	}
+	return Known{Pos: pos, Entries: []Event{{Pos: pos, Hosts: list}}}
+}
+
 // Take takes in one further event.
 func (b *Book) Take(now time.Time, e Event) {
 	if e.Hosts != nil {
@@ -171,7 +182,7 @@
 			delete(b.boots, h.Name) // ids come and go all day
 			continue
 		}
-		named[h.Name], b.here[h.Name] = true, true
+		named[h.Name], b.here[h.Name] = true, h
 		b.Sink.Place(h.Name, h.Address, h.SinceMs)
 	}
 	if kind != control.Changes { // what a whole list does not name is gone
--- a/internal/net/msgpackrpc/front.go
+++ b/internal/net/msgpackrpc/front.go
@@ -89,6 +89,29 @@
 	}
 }
 
+// SetMost sets how many connections are held at once.
+func (f *Front) SetMost(most int) { f.tenants.SetMost(most) }
+
+// EndIdle ends all connections on which nothing is open and nothing has come that is not answered, and returns how many are
+// left. A request that crosses the end on its way is its client's to send anew.
+func (f *Front) EndIdle() (left int) {
+	for c := range f.conns {
+		switch {
+		case c.tc.Ended():
+		case c.idle():
+			c.tc.End(errEnding, transport.Linger)
+		default:
+			left++
+		}
+	}
+	return left
+}
+
+// idle says whether nothing is owed on the connection.
+func (c *conn) idle() bool {
+	return len(c.open) == 0 && c.tc.Quiet() && c.handed.Load() == 0 && c.tenant.Half.IsZero()
+}
+
 // MakeRoom has an idle connection closed, for one that waits to be accepted. It may be called from anywhere.
 func (f *Front) MakeRoom() { f.loop.Post(func() { f.tenants.MakeRoom(f.loop.Now(), 1) }) }
 
@@ -109,6 +132,7 @@
 	tenant *transport.Tenant
 	gone   bool
 	half   bool         // poller: a part of a message has come
+	handed atomic.Int64 // pieces of work that were handed to the loop, and that it has not done
 	asked  atomic.Int64 // requests that were shed, and the loop has not counted
 
 	cancels cancels // that were read, and that the loop has not taken in
@@ -248,7 +272,9 @@
 		return nil
 	}
 	c.half = half
+	c.handed.Add(1)
 	c.front.loop.Post(func() {
+		c.handed.Add(-1)
 		if bad != nil {
 			c.front.Malformed++
 		}
--- a/internal/net/peers/peers.go
+++ b/internal/net/peers/peers.go
@@ -2,6 +2,7 @@
 package peers
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -11,6 +12,7 @@
 
 	"larchusher/control"
 	"larchusher/gateway"
+	"larchusher/internal/net/transport"
 )
 
 // most is the length of a datagram; a longer one breaks the platform's rule.
@@ -50,9 +52,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	if l.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(a)); err != nil {
+	// The address is shared with a process that takes over from this one; each has a part of the messages meanwhile.
+	cfg := net.ListenConfig{Control: transport.SharePort}
+	conn, err := cfg.ListenPacket(context.Background(), "udp", a.String())
+	if err != nil {
 		return nil, fmt.Errorf("listening for peers: %w", err)
 	}
+	l.conn = conn.(*net.UDPConn)
 	return l, nil
 }
 
--- a/internal/net/resp/pool.go
+++ b/internal/net/resp/pool.go
@@ -76,6 +76,9 @@
 	return p
 }
 
+// SetConns sets how many connections are held at once. More that are up stay until they are idle.
+func (p *Pool) SetConns(most int) { p.cfg.Conns = most }
+
 // AllowWhole sets how long an answer that has begun may take to come whole.
 func (p *Pool) AllowWhole(d time.Duration) { p.cfg.Whole = d }
 
--- a/internal/net/signedfront/front.go
+++ b/internal/net/signedfront/front.go
@@ -91,6 +91,9 @@
 	}
 }
 
+// SetMost sets how many connections are held at once.
+func (f *Front) SetMost(most int) { f.tenants.SetMost(most) }
+
 // MakeRoom has an idle connection closed, for one that waits to be accepted. It may be called from anywhere.
 func (f *Front) MakeRoom() { f.loop.Post(func() { f.tenants.MakeRoom(f.loop.Now(), 1) }) }
 
--- /dev/null
+++ b/internal/net/transport/listener.go
@@ -0,0 +1,233 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	slotWithin  = 100 * time.Millisecond // a connection beyond the most waits so long for a slot
+	acceptPause = 5 * time.Millisecond   // after an accept that failed for want of descriptors
+)
+
+// Listener accepts connections on one address.
+type Listener struct {
+	engine  *Engine
+	tcp     *net.TCPListener
+	slots   *slots
+	full    func()
+	handler func() Handler
+
+	once     sync.Once
+	yielding sync.Once
+	yield    chan struct{} // closed by Yield
+}
+
+// Listen accepts connections on addr, and asks handler for the callbacks of each. At most `most` are held
+// open at once. One beyond that has `full` called, which may close others, and waits a moment for a slot; it is
+// closed if none comes free.
+//
+// The address is shared with other processes of the same user that listen on it by this function: the kernel gives each new
+// connection to one of them.
+func (e *Engine) Listen(addr string, most int, full func(), handler func() Handler) (*Listener, error) {
+	cfg := net.ListenConfig{Control: SharePort}
+	open, err := cfg.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listening on %s: %w", addr, err)
+	}
+	l := &Listener{engine: e, tcp: open.(*net.TCPListener), slots: newSlots(most), full: full, handler: handler, yield: make(chan struct{})}
+	go l.run() // one for the listener: nbio's own ends with the engine only
+	return l, nil
+}
+
+// SharePort lets other processes of the same user bind the address of a socket, too. It is a net.ListenConfig's Control.
+func SharePort(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	})
+	return errors.Join(err, failed)
+}
+
+// run accepts until the listener is closed or yields.
+func (l *Listener) run() {
+	for {
+		conn, err := l.tcp.Accept()
+		switch {
+		case err == nil:
+			l.take(conn)
+		case l.yielded():
+			l.acceptQueued()
+			l.Close()
+			return
+		case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED):
+			time.Sleep(acceptPause)
+		default:
+			return
+		}
+	}
+}
+
+// take has a connection served, if there is a slot for it.
+func (l *Listener) take(conn net.Conn) {
+	if !l.slots.take(0) {
+		if l.full != nil {
+			l.full()
+		}
+		if !l.slots.take(slotWithin) {
+			l.engine.Crowded.Add(1)
+			_ = conn.Close()
+			return
+		}
+	}
+	boundUnsent(conn)
+	nc, err := nbio.NBConn(conn)
+	if err != nil {
+		_ = conn.Close()
+		l.slots.free()
+		l.engine.log.WithError(err).Warn("taking a connection over")
+		return
+	}
+	h := l.handler()
+	c := l.engine.wrap(nc, h, l.slots.free)
+	if o, ok := h.(Opener); ok {
+		o.OnOpened(c)
+	}
+	l.engine.add(c)
+	if s, ok := h.(Speaker); ok {
+		s.OnReady(c)
+	}
+}
+
+// acceptQueued takes what the kernel has accepted for this listener and run has not. Nothing else accepts meanwhile.
+func (l *Listener) acceptQueued() {
+	raw, err := l.tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	var queued []int
+	_ = raw.Control(func(listening uintptr) {
+		for {
+			fd, _, err := unix.Accept4(int(listening), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			if err == nil {
+				queued = append(queued, fd)
+			} else if !errors.Is(err, unix.EINTR) && !errors.Is(err, unix.ECONNABORTED) {
+				return
+			}
+		}
+	})
+	l.Close() // before anything else is done: what comes from now on is another listener's
+	for _, fd := range queued {
+		file := os.NewFile(uintptr(fd), "queued connection")
+		conn, err := net.FileConn(file)
+		_ = file.Close()
+		if err != nil {
+			l.engine.log.WithError(err).Warn("taking a queued connection over")
+			continue
+		}
+		l.take(conn)
+	}
+}
+
+// Addr is the address that is listened on.
+func (l *Listener) Addr() net.Addr { return l.tcp.Addr() }
+
+// Close stops accepting; open connections stay. The kernel resets connections that wait to be accepted.
+func (l *Listener) Close() { l.once.Do(func() { _ = l.tcp.Close() }) }
+
+// Yield stops accepting in favour of another process that listens on the same address: all connections that wait to be
+// accepted are taken first.
+func (l *Listener) Yield() {
+	l.yielding.Do(func() {
+		close(l.yield)
+		_ = l.tcp.SetDeadline(time.Unix(1, 0)) // wakes run
+	})
+}
+
+func (l *Listener) yielded() bool {
+	select {
+	case <-l.yield:
+		return true
+	default:
+		return false
+	}
+}
+
+// SetMost sets how many connections are held open at once. If more are open they stay, and none is accepted until enough
+// have ended.
+func (l *Listener) SetMost(most int) { l.slots.setMost(most) }
+
+// slots bounds how many connections are open. It is safe for concurrent use.
+type slots struct {
+	mu    sync.Mutex
+	most  int
+	used  int
+	freed chan struct{} // has an element if a slot may have come free
+}
+
+func newSlots(most int) *slots {
+	return &slots{most: max(1, most), freed: make(chan struct{}, 1)}
+}
+
+// take takes a slot, or reports false if none came free within a time.
+func (s *slots) take(within time.Duration) bool {
+	if s.tryTake() {
+		return true
+	}
+	if within <= 0 {
+		return false
+	}
+	late := time.NewTimer(within)
+	defer late.Stop()
+	for {
+		select {
+		case <-s.freed:
+			if s.tryTake() {
+				return true
+			}
+		case <-late.C:
+			return s.tryTake()
+		}
+	}
+}
+
+func (s *slots) tryTake() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.used >= s.most {
+		return false
+	}
+	s.used++
+	return true
+}
+
+// free gives a slot back.
+func (s *slots) free() {
+	s.mu.Lock()
+	s.used--
+	s.mu.Unlock()
+	s.wake()
+}
+
+func (s *slots) setMost(most int) {
+	s.mu.Lock()
+	s.most = max(1, most)
+	s.mu.Unlock()
+	s.wake()
+}
+
+func (s *slots) wake() {
+	select {
+	case s.freed <- struct{}{}:
+	default:
+	}
+}
--- a/internal/net/transport/tenants.go
+++ b/internal/net/transport/tenants.go
@@ -40,6 +40,9 @@
 	return n
 }
 
+// SetMost sets how many places there are.
+func (t *Tenants) SetMost(most int) { t.most = most }
+
 // Drop takes a connection's place back. A nil tenant has none.
 func (t *Tenants) Drop(n *Tenant) { delete(t.all, n) }
 
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -27,8 +27,6 @@
 	heldMost = 2 << 20  // memory that one connection may hold (see Conn.Hold)
 	heldFair = 64 << 10 // and that each may hold however much all do
 
-	placeWithin = 100 * time.Millisecond // a connection beyond the most waits so long for a place
-
 	// What an ended connection may still hold its descriptor for. A message that crosses an end within 50 ms is sent
 	// anew by its client, so it is read and thrown away for longer than that.
 	Linger      = 500 * time.Millisecond
@@ -137,6 +135,8 @@
 		e.echo.heard()
 		return
 	}
+	c.reading.Store(true)
+	defer c.reading.Store(false)
 	for i := 0; i < readsMost || c.Left(); i++ {
 		n, err := nc.Read(e.buffer)
 		if n > 0 {
@@ -175,11 +175,12 @@
 	waiting atomic.Int64
 	held    atomic.Int64
 
-	ended  atomic.Bool // by this side: nothing more is taken in or written
-	gone   atomic.Bool // it is closed
-	closed sync.Once   // OnClosed has been called
-	thrown int         // poller: bytes that came after that
-	left   func()      // to be called once it holds no descriptor any more; nil: nobody waits for that
+	ended   atomic.Bool // by this side: nothing more is taken in or written
+	gone    atomic.Bool // it is closed
+	reading atomic.Bool // what has come is being taken in
+	closed  sync.Once   // OnClosed has been called
+	thrown  int         // poller: bytes that came after that
+	left    func()      // to be called once it holds no descriptor any more; nil: nobody waits for that
 }
 
 // told tells the handler, once, that the connection is over.
@@ -227,6 +228,29 @@
 // Lingering is the number of connections that have ended, and whose other ends have not closed yet.
 func (e *Engine) Lingering() int64 { return e.lingering.Load() }
 
+// Quiet says whether nothing that the other end has sent lies unread in the kernel, nor is just being handed to the handler.
+// What the handler was handed before that is its own to know.
+func (c *Conn) Quiet() bool {
+	if c.gone.Load() {
+		return true
+	}
+	return c.unread() == 0 && !c.reading.Load() // in this order: what was read meanwhile is being handed over, or has been
+}
+
+// unread is how many bytes lie unread in the kernel.
+func (c *Conn) unread() int {
+	c.nc.Lock() // its descriptor stays its own meanwhile
+	defer c.nc.Unlock()
+	if closed, _ := c.nc.IsClosed(); closed {
+		return 0
+	}
+	n, err := unix.IoctlGetInt(c.nc.Hash(), unix.TIOCINQ)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // Ended says whether End was called.
 func (c *Conn) Ended() bool { return c.ended.Load() }
 
@@ -310,75 +334,6 @@
 // Close ends the connection; OnClosed follows.
 func (c *Conn) Close(err error) { _ = c.nc.CloseWithError(err) }
 
-// Listener accepts connections on one address.
-type Listener struct {
-	l    net.Listener
-	once sync.Once
-}
-
-// Listen accepts connections on addr, and asks handler for the callbacks of each. At most `most` are held
-// open at once. One beyond that has `full` called, which may close others, and waits a moment for a place; it is
-// closed if none comes free.
-func (e *Engine) Listen(addr string, most int, full func(), handler func() Handler) (*Listener, error) {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, fmt.Errorf("listening on %s: %w", addr, err)
-	}
-	places := make(chan struct{}, max(1, most))
-	go func() { // one for the listener: nbio's own ends with the engine only
-		wait := time.NewTimer(0)
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED) {
-					time.Sleep(5 * time.Millisecond)
-					continue
-				}
-				return
-			}
-			select {
-			case places <- struct{}{}:
-			default:
-				if full != nil {
-					full()
-				}
-				wait.Reset(placeWithin)
-				select {
-				case places <- struct{}{}:
-				case <-wait.C:
-					e.Crowded.Add(1)
-					_ = conn.Close()
-					continue
-				}
-			}
-			boundUnsent(conn)
-			nc, err := nbio.NBConn(conn)
-			if err != nil {
-				_ = conn.Close()
-				<-places
-				e.log.WithError(err).Warn("taking a connection over")
-				continue
-			}
-			h := handler()
-			c := e.wrap(nc, h, func() { <-places })
-			if o, ok := h.(Opener); ok {
-				o.OnOpened(c)
-			}
-			e.add(c)
-			if s, ok := h.(Speaker); ok {
-				s.OnReady(c)
-			}
-		}
-	}()
-	return &Listener{l: l}, nil
-}
-
-// Addr is the address that is listened on.
-func (l *Listener) Addr() net.Addr { return l.l.Addr() }
-
-// Close stops accepting; open connections stay.
-func (l *Listener) Close() { l.once.Do(func() { _ = l.l.Close() }) }
-
 // of returns the Conn of one of nbio's. Guards against reading it half made: nbio hands connections to its poller
 // through the kernel alone, which the memory model of Go knows nothing of.
 func (e *Engine) of(nc *nbio.Conn) *Conn {
