--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,129 @@
+package handover
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+const patience = 10 * time.Second
+
+// join is Join, with what it takes closed at the end. Locks belong to open files, so two processes of one test are told apart as
+// those of two programs are.
+func join(t *testing.T, dir string) *Process {
+	t.Helper()
+	p, err := Join(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p
+}
+
+func await(t *testing.T, what string, c <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-c:
+	case <-time.After(patience):
+		t.Fatalf("it never came that %s", what)
+	}
+}
+
+// The state goes over, the successor hears of the end of the former process, and takes its place: the next one may come.
+func TestStateGoesOver(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "gateway")
+	first := join(t, dir)
+	if first.Successor() || first.Succeeded() {
+		t.Error("one that is alone has company")
+	}
+	first.Watch(func(answer func([]byte) error) {
+		if err := answer([]byte("all that is known")); err != nil {
+			t.Error(err)
+		}
+	}, func() {})
+	second := join(t, dir)
+	if !second.Successor() || second.Succeeded() || !first.Succeeded() {
+		t.Error("who takes over from whom?")
+	}
+	state, err := second.Request(patience)
+	if err != nil || string(state) != "all that is known" {
+		t.Errorf("%q, %v", state, err)
+	}
+	if _, err := Join(dir); !errors.Is(err, ErrThird) {
+		t.Errorf("a third one: %v", err)
+	}
+	alone := make(chan struct{})
+	second.AwaitAlone(func() { close(alone) })
+	select {
+	case <-alone:
+		t.Fatal("the former process still runs")
+	case <-time.After(4 * poll):
+	}
+	first.Close()
+	await(t, "the former process has ended", alone)
+	third := join(t, dir)
+	if !third.Successor() || !second.Succeeded() {
+		t.Error("the successor has not taken the place of the one that serves")
+	}
+}
+
+// A successor that ends before it serves is noticed; the next one gets a state of its own, not the one meant for the first.
+func TestASuccessorThatEnds(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "gateway")
+	first := join(t, dir)
+	asked, gone := make(chan func([]byte) error, 1), make(chan struct{})
+	first.Watch(func(answer func([]byte) error) { asked <- answer }, func() { close(gone) })
+	second := join(t, dir)
+	if _, err := second.Request(5 * poll); !errors.Is(err, ErrNoState) {
+		t.Errorf("nobody answered: %v", err)
+	}
+	late := <-asked
+	second.Close()
+	await(t, "the successor has ended", gone)
+	third := join(t, dir)
+	if err := late([]byte("late")); err != nil {
+		t.Error(err)
+	}
+	go func() {
+		if err := (<-asked)([]byte("fresh")); err != nil {
+			t.Error(err)
+		}
+	}()
+	if state, err := third.Request(patience); err != nil || string(state) != "fresh" {
+		t.Errorf("%q, %v", state, err)
+	}
+}
+
+// Where the one that serves ends before it answers, its successor does not wait for it.
+func TestAPredecessorThatEnds(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "gateway")
+	first := join(t, dir)
+	second := join(t, dir)
+	first.Close()
+	began := time.Now()
+	if _, err := second.Request(patience); !errors.Is(err, ErrNoState) || time.Since(began) > patience/2 {
+		t.Errorf("%v after %v", err, time.Since(began))
+	}
+}
+
+// A folder that others can write, or a link in its place, is not used.
+func TestForeignFolders(t *testing.T) {
+	open := filepath.Join(t.TempDir(), "open")
+	if err := os.Mkdir(open, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Chmod(open, 0o777); err != nil {
+		t.Fatal(err)
+	}
+	link := filepath.Join(t.TempDir(), "link")
+	if err := os.Symlink(t.TempDir(), link); err != nil {
+		t.Fatal(err)
+	}
+	for _, dir := range []string{open, link} {
+		if _, err := Join(dir); !errors.Is(err, ErrNotOurs) {
+			t.Errorf("%s: %v", dir, err)
+		}
+	}
+}
--- a/test/rig_test.go
+++ b/test/rig_test.go
@@ -117,24 +117,32 @@
 		r.config["known"] = world.Known(r.stores)
 	}
 	r.write()
+	r.run()
+	r.logged("msg=serving")
+	next(r.t, r.journal.Connected)
+	return r
+}
+
+// run starts the program on the configuration that is written.
+func (r *rig) run() {
+	r.t.Helper()
+	r.log = &world.Log{}
 	r.cmd = exec.Command(program, r.args...)
 	r.cmd.Env = append(append(os.Environ(), "BALANCER_CONFIG="+r.path, "BALANCER_NAME=n0"), r.env...)
 	r.cmd.Stderr = r.log
 	if err := r.cmd.Start(); err != nil {
 		r.t.Fatal(err)
 	}
-	r.exited = make(chan error, 1)
-	go func() { r.exited <- r.cmd.Wait(); close(r.exited) }()
+	cmd, log, exited := r.cmd, r.log, make(chan error, 1)
+	r.exited = exited
+	go func() { exited <- cmd.Wait(); close(exited) }()
 	r.t.Cleanup(func() {
-		_ = r.cmd.Process.Kill()
-		<-r.exited
-		if text := r.log.String(); strings.Contains(text, "panic") && !strings.Contains(text, "panics=0") || r.t.Failed() {
+		_ = cmd.Process.Kill()
+		<-exited
+		if text := log.String(); strings.Contains(text, "panic") && !strings.Contains(text, "panics=0") || r.t.Failed() {
 			r.t.Errorf("its log:\n%s", text)
 		}
 	})
-	r.logged("msg=serving")
-	next(r.t, r.journal.Connected)
-	return r
 }
 
 // logged waits until the log has a line with the text, and returns it.
--- /dev/null
+++ b/test/upgrade_test.go
@@ -0,0 +1,230 @@
+package test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// beside starts another process of the same gateway with the same files, and waits until it says that it takes clients.
+func (r *rig) beside() (second *rig, console string) {
+	r.t.Helper()
+	console = free(r.t)
+	other := *r
+	second = &other
+	second.env = append(append([]string{}, r.env...), "BALANCER_CONSOLE="+console)
+	second.run()
+	eventually(r.t, "the new process takes clients", func() bool {
+		conn, err := net.Dial("tcp", console)
+		if err != nil {
+			return false
+		}
+		conn.Close()
+		return second.call(console, "READY")[0] == "ok"
+	})
+	return second, console
+}
+
+// shared gives the processes of a rig one temporary folder.
+func (r *rig) shared() *rig {
+	r.env = append(r.env, "TMPDIR="+r.t.TempDir())
+	return r
+}
+
+// ended waits until the program has ended, and says how.
+func (r *rig) ended() error {
+	r.t.Helper()
+	select {
+	case err := <-r.exited:
+		return err
+	case <-time.After(patience):
+		r.t.Fatal("it has not ended")
+		return nil
+	}
+}
+
+// A second process takes over from the first: it knows what the first was told by a journal that is gone by then, the first
+// answers what is open, ends its idle connections and itself, and leaves all that is new to the second.
+func TestANewProcessTakesOver(t *testing.T) {
+	r := newRig(t).shared().start()
+	held := make(chan *ask, 100)
+	r.on(func(a *ask) { held <- a })
+	busy, idle := r.client(), r.client()
+	busy.send("films", object, 5*time.Second, "")
+	open := next(t, held)
+	r.journal.Tell(2, `"hosts":{"index":2,"snapshot":false,"endpoints":[`+r.host("c1", "DRAINING")+`]}`)
+	eventually(t, "the drain is heard of", func() bool { return r.counter("journal_events") == 1 })
+	r.journal.Close()
+
+	second, console := r.beside()
+	second.logged("taking over from the process that serves")
+	if got := second.figures(console); got["targets"] != 4 || got["targets_disabled"] != 1 {
+		t.Errorf("it knows %d stores, of which %d are out of use", got["targets"], got["targets_disabled"])
+	}
+	r.signal(syscall.SIGTERM)
+	r.logged("leaving clients to the new process")
+	idle.ended()
+	r.on(done)
+	for i := range 40 {
+		c := r.client()
+		c.send("images", fmt.Sprintf("%016x", i), 5*time.Second, "")
+		if a := c.next(); a.err != "" {
+			t.Fatalf("new connection %d: %+v", i, a)
+		}
+		c.conn.Close()
+	}
+	for _, a := range r.asks("") {
+		if a.Store.Name == "c1" && a.Fields["name"] != object {
+			t.Error("a store was asked that the former process knew to drain")
+		}
+	}
+	done(open)
+	if a := busy.next(); a.err != "" || a.body != content(object, "3") {
+		t.Errorf("open across the upgrade: %+v", a)
+	}
+	busy.ended()
+	if err := r.ended(); err != nil {
+		t.Errorf("the former process: %v", err)
+	}
+	second.logged("the former process has ended")
+}
+
+// Clients that never stop asking, on connections that they keep and on new ones, lose nothing over five upgrades. A request
+// that crosses the end of its connection is sent anew, as the protocol has it.
+func TestNoRequestIsLostOverUpgrades(t *testing.T) {
+	r := newRig(t).shared().start()
+	stop, failed := make(chan struct{}), make(chan string, 100)
+	var all sync.WaitGroup
+	for n := range 6 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			if err := r.askOn(n, stop); err != nil {
+				failed <- fmt.Sprintf("client %d: %v", n, err)
+			}
+		}()
+	}
+	for range 5 {
+		second, _ := r.beside()
+		r.signal(syscall.SIGTERM)
+		if err := r.ended(); err != nil {
+			t.Errorf("a former process: %v", err)
+		}
+		*r = *second
+	}
+	close(stop)
+	all.Wait()
+	close(failed)
+	for f := range failed {
+		t.Error(f)
+	}
+}
+
+// askOn asks until it is stopped, every third request on a connection of its own. A request whose connection ends within
+// 50 ms of its sending goes out once more.
+func (r *rig) askOn(n int, stop <-chan struct{}) error {
+	var conn net.Conn
+	defer func() {
+		if conn != nil {
+			conn.Close()
+		}
+	}()
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return nil
+		default:
+		}
+		again := false
+		for {
+			if conn == nil {
+				var err error
+				if conn, err = net.Dial("tcp", r.addr); err != nil {
+					return err
+				}
+			}
+			sent := time.Now()
+			err := askOnce(conn, n<<20|i)
+			if err == nil {
+				break
+			}
+			conn.Close()
+			conn = nil
+			if again || time.Since(sent) > 50*time.Millisecond {
+				return fmt.Errorf("request %d after %v, sent again: %v: %w", i, time.Since(sent), again, err)
+			}
+			again = true
+		}
+		if i%3 == 2 {
+			conn.Close()
+			conn = nil
+		}
+	}
+}
+
+// askOnce asks for a part and reads the answer.
+func askOnce(conn net.Conn, number int) error {
+	txn := fmt.Sprintf("%016x", number)
+	fields := []string{"txn", txn, "limit", "5000", "item", txn, "n", "3", "shard", "17"}
+	b := append([]byte{0x94, 0, 1}, packText("images")...)
+	b = append(append(b, 0x92), packFields(fields)...)
+	b = append(b, 0xc4, 0)
+	if _, err := conn.Write(b); err != nil {
+		return err
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(patience))
+	v, err := unpack(bufio.NewReader(conn))
+	if err != nil {
+		return err
+	}
+	if m := v.([]any); m[1].(int) != 1 || m[2] != nil {
+		return fmt.Errorf("the answer %.100v", m)
+	}
+	return nil
+}
+
+// A process that is killed while its successor starts leaves it in charge, and one whose successor is killed goes on.
+func TestKillsDuringAnUpgrade(t *testing.T) {
+	r := newRig(t).shared().start()
+	second, _ := r.beside()
+	if err := second.cmd.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	r.logged("the new process has ended; going on")
+	third, _ := r.beside()
+	if err := r.cmd.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	third.logged("the former process has ended")
+	c := r.client()
+	c.send("films", object, 5*time.Second, "")
+	if a := c.next(); a.err != "" {
+		t.Errorf("%+v", a)
+	}
+	// Alone again, a planned end is what it always was.
+	third.signal(syscall.SIGTERM)
+	c.send("images", object, 5*time.Second, "")
+	if a := c.next(); a.err != "" {
+		t.Errorf("after SIGTERM without a successor: %+v", a)
+	}
+	if err := third.ended(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A third process is turned away, and says why.
+func TestAThirdProcessIsTurnedAway(t *testing.T) {
+	r := newRig(t).shared().start()
+	second, _ := r.beside()
+	third := *second
+	third.known = nil
+	third.run()
+	if err := third.ended(); err == nil || !strings.Contains(third.log.String(), "two processes of this gateway") {
+		t.Errorf("%v: %s", err, third.log.String())
+	}
+}
