Listening sockets go over to the new process, with what waits in their queues

Cause: TestNoRequestIsLostOverUpgrades failed in 4 of 25 runs and once before ('dial tcp ...: connect: connection reset by peer'): a connection came between the last accept and the close of the former process's listener. Ruled out: the successor's listener (the reset comes before any accept); steering by classic BPF, which the kernel here refuses ('operation not supported'). Change: handover.Socket by SCM_RIGHTS, transport.Engine.Inherit; SO_REUSEPORT stays where Unix sockets do not work.

--- a/cmd/larchusher/serve.go
+++ b/cmd/larchusher/serve.go
@@ -59,9 +59,10 @@
 	accept []*transport.Listener
 	book   *journal.Book
 
-	process *handover.Process   // nil: no other process of this gateway can take over
-	since   string              // fingerprint of the journal's events at the start
-	clients *transport.Listener // of the platform's front
+	process   *handover.Process   // nil: no other process of this gateway can take over
+	since     string              // fingerprint of the journal's events at the start
+	clients   *transport.Listener // of the platform's front
+	closeRest func()              // closes sockets of a former process that nobody listens on any more; nil: there are none
 
 	signedAt *transport.Listener // where the signed front listens
 	retired  bool                // a reload has ended that front
@@ -108,6 +109,9 @@
 	}
 	p.setMemory(1)
 	p.since = fingerprint(cfg.Known)
+	if p.engine, err = transport.New(p.log, cfg.Limits.MemoryMB<<20/4); err != nil {
+		return err
+	}
 	if err := p.joinHandover(); err != nil {
 		return err
 	}
@@ -115,9 +119,6 @@
 		defer p.process.Close()
 	}
 	known, learned := p.takeState()
-	if p.engine, err = transport.New(p.log, cfg.Limits.MemoryMB<<20/4); err != nil {
-		return err
-	}
 	share := p.shares()
 	p.pool = resp.New(resp.Config{Streams: cfg.Sockets.StreamsPerConn, ConnectTimeout: cfg.Sockets.ConnectTimeout,
 		KeepAlive: cfg.Sockets.KeepAlive, Conns: share.Stores, LoadFields: cfg.Settings.LoadFields,
@@ -176,6 +177,9 @@
 	if err := p.others(); err != nil {
 		return err
 	}
+	if p.closeRest != nil {
+		p.closeRest()
+	}
 	p.log.WithField("listen", l.Addr().String()).Info("serving")
 	p.loop.Post(func() { p.serving = true })
 
--- a/cmd/larchusher/upgrade.go
+++ b/cmd/larchusher/upgrade.go
@@ -72,16 +72,21 @@
 }
 
 // takeState takes over the state of the process that serves, if there is one, and returns the list of stores to start with.
+// Its listening sockets are left to the engine.
 func (p *program) takeState() (known journal.Known, learned *knowledge.Snapshot) {
 	known = p.cfg.Known
 	if p.process == nil || !p.process.Successor() {
 		return known, nil
 	}
 	p.setMemory(overlapShare)
-	data, err := p.process.Request(stateWithin)
+	handed, err := p.process.Request(stateWithin)
 	var state handedState
 	if err == nil {
-		err = json.Unmarshal(data, &state)
+		err = json.Unmarshal(handed.State, &state)
+	}
+	p.closeRest = p.engine.Inherit(handed.Sockets)
+	if handed.Missed != nil {
+		p.log.WithError(handed.Missed).Warn("upgrade: listening beside the process that serves")
 	}
 	switch {
 	case err != nil:
@@ -116,7 +121,7 @@
 			})
 		})
 	}
-	p.process.Watch(func(answer func([]byte) error) {
+	p.process.Watch(func(answer handover.Answer) {
 		p.loop.Post(func() { p.handState(answer) })
 	}, func() {
 		p.loop.Post(func() {
@@ -128,13 +133,14 @@
 }
 
 // handState hands this process's state to its successor. From this moment on the successor has the budget for cold stores.
-func (p *program) handState(answer func([]byte) error) {
+func (p *program) handState(answer handover.Answer) {
 	p.log.Info("upgrade: handing over to a new process")
 	p.gw.PauseCold(-1)
 	p.useShares(overlapShare)
 	state := handedState{Format: stateFormat, Since: p.since, Known: p.book.List(p.feed.Position()),
 		Learned: &knowledge.Snapshot{Made: p.gw.Clock(p.loop.Now()), Gateway: p.cfg.Name, Settings: p.cfg.Fingerprint(),
 			Position: p.feed.Position(), Directors: p.gw.Learned(listingsMost)}}
+	sockets := p.sockets()
 	go func() { // the loop waits for no file
 		data, err := json.Marshal(state)
 		if err != nil { // of a figure that JSON has no form for: the list is what matters
@@ -142,14 +148,24 @@
 			data, err = json.Marshal(state)
 		}
 		if err == nil {
-			err = answer(data)
+			err = answer(data, sockets)
 		}
 		if err != nil {
-			p.log.WithError(err).Error("upgrade: the state is not handed over")
+			p.log.WithError(err).Error("upgrade: not all is handed over")
 		}
 	}()
 }
 
+// sockets are the listening sockets that go over to a successor.
+func (p *program) sockets() (all []handover.Socket) {
+	for _, l := range p.accept {
+		if raw, err := l.RawConn(); err == nil {
+			all = append(all, handover.Socket{Addr: l.Addr().String(), Conn: raw})
+		}
+	}
+	return all
+}
+
 // useShares has this process use a part of the descriptors and the memory that the program may use.
 func (p *program) useShares(part float64) {
 	scaled := func(n int) int { return max(1, int(part*float64(n))) }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -2,7 +2,8 @@
 // files in a folder that they share, and the state goes over by a file. The kernel gives locks back when a process dies, so
 // what a file says never claims a process that is gone.
 //
-// The package knows nothing of what the state is.
+// The package knows nothing of what the state is. Where Unix sockets work, listening sockets go over as well, with what waits in
+// their queues.
 package handover
 
 import (
@@ -10,6 +11,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -20,23 +22,26 @@
 )
 
 const (
-	activeLock  = "active.lock" // held by the process that serves
-	nextLock    = "next.lock"   // held by its successor while both run
-	requestFile = "request"     // the successor's: it holds a token
-	statePrefix = "state-"      // followed by the token: the answer
-	partial     = ".tmp"
-	folderMode  = 0o700
-	fileMode    = 0o600
-	stateMost   = 16 << 20 // bytes of a state that is read
+	activeLock   = "active.lock" // held by the process that serves
+	nextLock     = "next.lock"   // held by its successor while both run
+	requestFile  = "request"     // the successor's: it holds a token
+	statePrefix  = "state-"      // followed by the token: the answer
+	socketPrefix = "sockets-"    // likewise: a Unix socket of the successor's, which takes listening sockets
+	partial      = ".tmp"
+	folderMode   = 0o700
+	fileMode     = 0o600
+	stateMost    = 16 << 20 // bytes of a state that is read
+	tokenBytes   = 4
 
 	poll = 20 * time.Millisecond // between two looks for a file or a lock
 )
 
 // Errors to be told apart by errors.Is.
 var (
-	ErrThird   = errors.New("two processes of this gateway run already")
-	ErrNotOurs = errors.New("the folder is not this user's alone")
-	ErrNoState = errors.New("no state has come in time")
+	ErrThird     = errors.New("two processes of this gateway run already")
+	ErrNotOurs   = errors.New("the folder is not this user's alone")
+	ErrNoState   = errors.New("no state has come in time")
+	ErrNoSockets = errors.New("no sockets were handed over")
 )
 
 // Process is this process's place in a handover.
@@ -120,7 +125,7 @@
 func (p *Process) sweep() {
 	entries, _ := os.ReadDir(p.dir)
 	for _, e := range entries {
-		if name := e.Name(); name == requestFile || strings.HasPrefix(name, statePrefix) {
+		if name := e.Name(); name == requestFile || strings.HasPrefix(name, statePrefix) || strings.HasPrefix(name, socketPrefix) {
 			_ = os.Remove(filepath.Join(p.dir, name))
 		}
 	}
@@ -129,17 +134,39 @@
 // Successor says whether this process takes over from another one, which may have ended by now.
 func (p *Process) Successor() bool { return p.next != nil }
 
-// Request asks the process that serves for its state and waits for it. It fails with ErrNoState if none has come within a
-// time, or as soon as that process has ended.
-func (p *Process) Request(within time.Duration) ([]byte, error) {
-	token := make([]byte, 8)
+// Handed is what the process that serves has handed over.
+type Handed struct {
+	State   []byte
+	Sockets map[string]*os.File // by their addresses
+	Missed  error               // why there are no sockets; nil: there are
+}
+
+// Request asks the process that serves for its state and its listening sockets, and waits for them. It fails with ErrNoState
+// if no state has come within a time, or as soon as that process has ended.
+func (p *Process) Request(within time.Duration) (h Handed, err error) {
+	token := make([]byte, tokenBytes)
 	if _, err := rand.Read(token); err != nil {
-		return nil, fmt.Errorf("the handover's token: %w", err)
+		return h, fmt.Errorf("the handover's token: %w", err)
 	}
 	name := hex.EncodeToString(token)
+	sockets, missed := net.ListenUnix("unix", &net.UnixAddr{Name: p.socketPath(name), Net: "unix"})
+	if missed == nil {
+		defer sockets.Close() // and removes it
+	}
 	if err := p.write(requestFile, []byte(name)); err != nil {
-		return nil, err
+		return h, err
 	}
+	if h.State, err = p.awaitState(name, within); err != nil {
+		return h, err
+	}
+	if h.Missed = missed; missed == nil {
+		h.Sockets, h.Missed = receiveSockets(sockets)
+	}
+	return h, nil
+}
+
+// awaitState waits for the file that answers a token.
+func (p *Process) awaitState(name string, within time.Duration) ([]byte, error) {
 	answer := filepath.Join(p.dir, statePrefix+name)
 	for end := time.Now().Add(within); ; time.Sleep(poll) {
 		info, err := os.Stat(answer)
@@ -185,9 +212,26 @@
 	}()
 }
 
+// Answer hands a state and listening sockets over to the successor that asked for them. A state without sockets is of use,
+// too: an error that wraps ErrNoSockets says that just these did not go over.
+type Answer func(state []byte, sockets []Socket) error
+
+// answerTo answers the successor with a token.
+func (p *Process) answerTo(token string) Answer {
+	return func(state []byte, sockets []Socket) error {
+		if err := p.write(statePrefix+token, state); err != nil {
+			return err
+		}
+		if err := p.sendSockets(token, sockets); err != nil {
+			return fmt.Errorf("%w: %w", ErrNoSockets, err)
+		}
+		return nil
+	}
+}
+
 // Watch calls came, on a goroutine of its own, with a function that answers a successor with this process's state, as soon
 // as one asks for it, and gone if it ends while this process still serves.
-func (p *Process) Watch(came func(answer func(state []byte) error), gone func()) {
+func (p *Process) Watch(came func(answer Answer), gone func()) {
 	go func() {
 		present, last := false, ""
 		for {
@@ -203,8 +247,7 @@
 			switch asks := err == nil && string(token) != last; {
 			case asks && p.Succeeded():
 				present, last = true, string(token)
-				name := statePrefix + last
-				came(func(state []byte) error { return p.write(name, state) })
+				came(p.answerTo(last))
 			case present && !p.Succeeded():
 				present = false
 				gone()
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"os"
 	"path/filepath"
 	"testing"
@@ -38,8 +39,17 @@
 	if first.Successor() || first.Succeeded() {
 		t.Error("one that is alone has company")
 	}
-	first.Watch(func(answer func([]byte) error) {
-		if err := answer([]byte("all that is known")); err != nil {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := listener.Addr().String()
+	first.Watch(func(answer Answer) {
+		if err := answer([]byte("all that is known"), []Socket{{addr, raw}, {"again", raw}}); err != nil {
 			t.Error(err)
 		}
 	}, func() {})
@@ -47,9 +57,27 @@
 	if !second.Successor() || second.Succeeded() || !first.Succeeded() {
 		t.Error("who takes over from whom?")
 	}
-	state, err := second.Request(patience)
-	if err != nil || string(state) != "all that is known" {
-		t.Errorf("%q, %v", state, err)
+	queued, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer queued.Close()
+	handed, err := second.Request(patience)
+	if err != nil || string(handed.State) != "all that is known" || handed.Missed != nil || len(handed.Sockets) != 2 {
+		t.Fatalf("%+v, %v", handed, err)
+	}
+	// What waits to be accepted is not reset with the former process's socket.
+	listener.Close()
+	over, err := net.FileListener(handed.Sockets[addr])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer over.Close()
+	if conn, err := over.Accept(); err != nil || conn.RemoteAddr().String() != queued.LocalAddr().String() {
+		t.Errorf("%v", err)
+	}
+	for _, f := range handed.Sockets {
+		f.Close()
 	}
 	if _, err := Join(dir); !errors.Is(err, ErrThird) {
 		t.Errorf("a third one: %v", err)
@@ -73,8 +101,8 @@
 func TestASuccessorThatEnds(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "gateway")
 	first := join(t, dir)
-	asked, gone := make(chan func([]byte) error, 1), make(chan struct{})
-	first.Watch(func(answer func([]byte) error) { asked <- answer }, func() { close(gone) })
+	asked, gone := make(chan Answer, 1), make(chan struct{})
+	first.Watch(func(answer Answer) { asked <- answer }, func() { close(gone) })
 	second := join(t, dir)
 	if _, err := second.Request(5 * poll); !errors.Is(err, ErrNoState) {
 		t.Errorf("nobody answered: %v", err)
@@ -83,16 +111,16 @@
 	second.Close()
 	await(t, "the successor has ended", gone)
 	third := join(t, dir)
-	if err := late([]byte("late")); err != nil {
+	if err := late([]byte("late"), nil); !errors.Is(err, ErrNoSockets) {
 		t.Error(err)
 	}
 	go func() {
-		if err := (<-asked)([]byte("fresh")); err != nil {
+		if err := (<-asked)([]byte("fresh"), nil); err != nil {
 			t.Error(err)
 		}
 	}()
-	if state, err := third.Request(patience); err != nil || string(state) != "fresh" {
-		t.Errorf("%q, %v", state, err)
+	if handed, err := third.Request(patience); err != nil || string(handed.State) != "fresh" {
+		t.Errorf("%+v, %v", handed, err)
 	}
 }
 
--- a/internal/net/transport/listener.go
+++ b/internal/net/transport/listener.go
@@ -39,16 +39,52 @@
 // The address is shared with other processes of the same user that listen on it by this function: the kernel gives each new
 // connection to one of them.
 func (e *Engine) Listen(addr string, most int, full func(), handler func() Handler) (*Listener, error) {
-	cfg := net.ListenConfig{Control: SharePort}
-	open, err := cfg.Listen(context.Background(), "tcp", addr)
+	tcp, err := e.open(addr)
 	if err != nil {
 		return nil, fmt.Errorf("listening on %s: %w", addr, err)
 	}
-	l := &Listener{engine: e, tcp: open.(*net.TCPListener), slots: newSlots(most), full: full, handler: handler, yield: make(chan struct{})}
+	l := &Listener{engine: e, tcp: tcp, slots: newSlots(most), full: full, handler: handler, yield: make(chan struct{})}
 	go l.run() // one for the listener: nbio's own ends with the engine only
 	return l, nil
 }
 
+// Inherit has Listen use listening sockets of a former process, by their addresses. What is not asked for is closed by the
+// function that it returns.
+func (e *Engine) Inherit(sockets map[string]*os.File) (closeRest func()) {
+	e.inherited = sockets
+	return func() {
+		for addr, f := range e.inherited {
+			_ = f.Close()
+			delete(e.inherited, addr)
+		}
+	}
+}
+
+// open gives the socket for an address: that of a former process, or one of its own.
+func (e *Engine) open(addr string) (*net.TCPListener, error) {
+	if file := e.inherited[addr]; file != nil {
+		delete(e.inherited, addr)
+		open, err := net.FileListener(file)
+		_ = file.Close()
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := open.(*net.TCPListener); ok {
+			return tcp, nil
+		}
+		_ = open.Close()
+	}
+	cfg := net.ListenConfig{Control: SharePort}
+	open, err := cfg.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return open.(*net.TCPListener), nil
+}
+
+// RawConn gives access to the listening socket.
+func (l *Listener) RawConn() (syscall.RawConn, error) { return l.tcp.SyscallConn() }
+
 // SharePort lets other processes of the same user bind the address of a socket, too. It is a net.ListenConfig's Control.
 func SharePort(_, _ string, c syscall.RawConn) error {
 	var failed error
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -61,8 +62,9 @@
 	held      atomic.Int64 // memory that all connections hold, half of most at the most
 	lingering atomic.Int64 // connections that have ended and are not closed
 	echo      echo
-	buffer    []byte     // the poller's, for reading
-	handing   sync.Mutex // held while a connection is made, and taken before its parts are read
+	inherited map[string]*os.File // listening sockets of a former process, by address
+	buffer    []byte              // the poller's, for reading
+	handing   sync.Mutex          // held while a connection is made, and taken before its parts are read
 
 	Opened, Closed atomic.Uint64
 	Crowded        atomic.Uint64 // connections closed because there was no place
--- a/test/upgrade_test.go
+++ b/test/upgrade_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"fmt"
 	"net"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -217,6 +219,29 @@
 	}
 }
 
+// Where no Unix socket can be made, for a path that is too long, the new process listens beside the former one.
+func TestAnUpgradeWithoutUnixSockets(t *testing.T) {
+	r := newRig(t)
+	folder := filepath.Join(t.TempDir(), strings.Repeat("long", 25))
+	if err := os.Mkdir(folder, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	r.env = append(r.env, "TMPDIR="+folder)
+	r.start()
+	second, _ := r.beside()
+	second.logged("listening beside the process that serves")
+	second.logged("taking over from the process that serves")
+	r.signal(syscall.SIGTERM)
+	if err := r.ended(); err != nil {
+		t.Error(err)
+	}
+	c := second.client()
+	c.send("films", object, 5*time.Second, "")
+	if a := c.next(); a.err != "" {
+		t.Errorf("%+v", a)
+	}
+}
+
 // A third process is turned away, and says why.
 func TestAThirdProcessIsTurnedAway(t *testing.T) {
 	r := newRig(t).shared().start()
