Other rules and paused cold stores among the odd sequences; what waits keeps its order of arrival

Seen: TestWhatWaitsMovesToOtherBands, new, failed: of one band and front the later came first where they had stood in two bands before. At fault: Queue.Rebanded, which moved band by band; it sorts by arrival now.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -406,7 +406,8 @@
 		q        Request
 		attempts []sent
 		over     bool
-		class    Class
+		class    Class // as it was when the request came
+		most     int   // attempts; likewise
 	}
 	var (
 		open   = map[string]*state{}
@@ -417,6 +418,7 @@
 		cell   = map[string]int{}
 		boot   = map[string]time.Duration{}
 		purged time.Duration
+		paused time.Duration // until then nothing goes to cold servers
 	)
 	for _, m := range list {
 		zone[m.ID], cell[m.ID] = m.Zone, m.Cell
@@ -432,6 +434,14 @@
 				if down[a.Server] || down[a.Source] {
 					return fmt.Errorf("%v: %s or %s is not up", now, a.Server, a.Source)
 				}
+				if len(st.attempts) >= st.most {
+					return fmt.Errorf("%v: attempt %d of %s, %d at most", now, len(st.attempts)+1, a.ID, st.most)
+				}
+				for _, id := range []string{a.Server, a.Source} {
+					if started := boot[id]; now < paused && started > 0 && d.warmsFor(id) > now-started {
+						return fmt.Errorf("%v: %s is cold, and nothing is to go there until %v", now, id, paused)
+					}
+				}
 				if purged > 0 && now-purged < s.PurgeSettles && (a.MaxAge <= 0 || a.MaxAge > now-purged+ms) {
 					return fmt.Errorf("%v: age limit %v, purged %v ago", now, a.MaxAge, now-purged)
 				}
@@ -531,7 +541,7 @@
 			ids = append(ids, id)
 			q := Request{ID: id, Class: c.Name, Object: fmt.Sprint("o", rng.IntN(40)), Group: 1, Write: c.NeverKept,
 				SizeKB: float64(rng.IntN(3000)), Deadline: now + time.Duration(1+rng.IntN(int(c.Deadline/ms)))*ms}
-			open[id] = &state{q: q, class: c}
+			open[id] = &state{q: q, class: c, most: s.MaxAttempts}
 			err = handle(q)
 		case k < 15 && len(ids) > 0:
 			id := pick()
@@ -558,6 +568,15 @@
 		case k < 19 && rng.IntN(10) == 0:
 			purged = now
 			err = handle(Purge{Group: 1})
+		case k < 19 && rng.IntN(10) == 0: // other rules for some classes, and another number of attempts
+			s.Classes = slices.Clone(s.Classes)
+			c := &s.Classes[rng.IntN(len(s.Classes)-1)]
+			c.Effect, c.Scope, c.Window = Effect(rng.IntN(3)), Scope(rng.IntN(3)), time.Duration(1+rng.IntN(2000))*ms
+			s.MaxAttempts = 1 + rng.IntN(8)
+			err = handle(Reconfigured{Classes: s.Classes, MaxAttempts: s.MaxAttempts})
+		case k < 19 && rng.IntN(10) == 0:
+			paused = now + time.Duration(rng.IntN(4000))*ms
+			err = handle(PauseCold{Until: paused})
 		case len(ids) > 0:
 			id := pick()
 			if !open[id].over {
@@ -575,6 +594,38 @@
 	return nil
 }
 
+// warmsFor is how long a server takes to warm up.
+func (d *Director) warmsFor(id string) time.Duration {
+	if s := d.servers[id]; s != nil {
+		return d.ramp(s.role).For
+	}
+	return 0
+}
+
+// While it is told to pause, a director sends nothing to cold servers; afterwards they have their budget.
+func TestNothingGoesToColdServersDuringAPause(t *testing.T) {
+	r := newRig(t, nil)
+	for i := range 400 { // what warm caches carry
+		r.serve("film", fmt.Sprint("a", i), NoteHit)
+	}
+	l := members()
+	l[0].Boot = r.now
+	r.do(Members{Kind: Changes, Entries: l[:1]})
+	r.do(PauseCold{Until: r.now + 2*time.Second})
+	until, cold := r.now+2*time.Second, 0
+	for i := 0; r.now < until+3*time.Second; i++ {
+		if r.serve("film", fmt.Sprint("b", i), NoteHit).Server != "c1" {
+			continue
+		}
+		if cold++; r.now < until {
+			t.Fatalf("the cold cache was sent something %v too early", until-r.now)
+		}
+	}
+	if cold == 0 {
+		t.Error("the cold cache gets nothing any more")
+	}
+}
+
 // TestColdBudget sends a cold cache what it may have, and no more in any window. ridge-assets tells no
 // sizes: attempts weighed nothing there, and cold caches were pushed over.
 func TestColdBudget(t *testing.T) {
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -126,6 +126,37 @@
 	})
 }
 
+// What waits keeps its order and the time that it has waited when there are other bands.
+func TestWhatWaitsMovesToOtherBands(t *testing.T) {
+	q := NewQueue(3, 2, 100*ms)
+	q.Lost(30 * ms)
+	var items [6]Item
+	for i := range items {
+		items[i].Value = i
+		q.Push(&items[i], i%3, i%2, time.Duration(i)*ms)
+		q.Lost(10 * ms)
+	}
+	waited := [6]time.Duration{}
+	for i := range items {
+		waited[i] = q.Waited(&items[i], time.Second)
+	}
+	next := q.Rebanded(5, func(v any) int { return 4 - v.(int)%2 })
+	if q.Len() != 0 || next.Len() != 6 || next.Waiting()[4] != 3 || next.Waiting()[3] != 3 {
+		t.Fatalf("%d were left behind, %d moved: %v", q.Len(), next.Len(), next.Waiting())
+	}
+	for i := range items {
+		if got := next.Waited(&items[i], time.Second); got != waited[i] {
+			t.Errorf("item %d waited %v, and %v after the move", i, waited[i], got)
+		}
+	}
+	next.Remove(&items[3])
+	for _, want := range []int{1, 5, 0, 2, 4} {
+		if got := next.Pop(); got.Value != want {
+			t.Errorf("%v came before %d", got.Value, want)
+		}
+	}
+}
+
 func TestQueueTakesTheFrontsByTurns(t *testing.T) {
 	q := NewQueue(1, 3, time.Second)
 	for n := range 10 {
--- a/overload/queue.go
+++ b/overload/queue.go
@@ -1,6 +1,10 @@
 package overload
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Item is the place of one request in a [Queue]. Its zero value is in none. It is part of what it stands for, so that
 // queueing allocates nothing and leaving takes the same time wherever it stands.
@@ -68,11 +72,16 @@
 }
 
 // Rebanded moves all that wait to a queue of as many bands as there are now, each to the band that is given for its Value,
-// and returns that queue. What waits keeps its order within a band and front, and the time that it has waited.
+// and returns that queue. Within a band and front they stand in the order in which they came; what they have waited counts on.
 func (q *Queue) Rebanded(bands int, band func(value any) int) *Queue {
 	next := NewQueue(bands, len(q.bands[0]), q.wait)
 	next.lost, next.grace, next.until = q.lost, q.grace, q.until
+	var all []*Item
 	for i := q.Pop(); i != nil; i = q.Pop() {
+		all = append(all, i)
+	}
+	slices.SortStableFunc(all, func(a, b *Item) int { return cmp.Compare(a.came, b.came) })
+	for _, i := range all {
 		lost := i.lost
 		next.Push(i, band(i.Value), i.front, i.came)
 		i.lost = lost
