A third process waits for its turn; a successor is looked for five times a second

Cause: by reading, Watch looked fifty times a second in each process, and a third process was refused: a start that is refused costs more than one without state.

--- a/cmd/larchusher/upgrade.go
+++ b/cmd/larchusher/upgrade.go
@@ -22,7 +22,8 @@
 // that one is sent SIGTERM and has answered what is open.
 
 const (
-	stateWithin   = time.Second           // for which a new process waits for the state of the one that serves
+	turnWithin    = 3 * time.Second       // for which a third process waits until one of the two that run has ended
+	stateWithin   = 2 * time.Second       // for which a new process waits for the state of the one that serves
 	overlapShare  = 0.4                   // of its descriptors and memory that each process may use while both run
 	listingsMost  = 20000                 // listings that are handed over
 	queueWithin   = 50 * time.Millisecond // until what the kernel had accepted is known to the fronts
@@ -56,11 +57,9 @@
 		return nil
 	}
 	name := fmt.Sprintf("larchusher-%d-%x", os.Geteuid(), xxhash.Sum64String(p.cfg.Listen))
-	p.process, err = handover.Join(filepath.Join(os.TempDir(), name))
-	switch {
-	case errors.Is(err, handover.ErrThird):
-		return err
-	case err != nil:
+	p.process, err = handover.Join(filepath.Join(os.TempDir(), name), turnWithin)
+	if err != nil {
+		p.process = nil
 		p.log.WithError(err).Warn("upgrade: no state will be handed over")
 		return nil
 	}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -33,7 +33,8 @@
 	stateMost    = 16 << 20 // bytes of a state that is read
 	tokenBytes   = 4
 
-	poll = 20 * time.Millisecond // between two looks for a file or a lock
+	poll      = 20 * time.Millisecond  // between two looks for a file or a lock, while both processes run
+	watchPoll = 200 * time.Millisecond // between two looks for a successor: it costs little, and a successor waits
 )
 
 // Errors to be told apart by errors.Is.
@@ -56,9 +57,9 @@
 	once   sync.Once
 }
 
-// Join takes this process's place among those that share a folder, which is made if need be. It fails with ErrThird if a
-// process and its successor run already.
-func Join(dir string) (*Process, error) {
+// Join takes this process's place among those that share a folder, which is made if need be. If a process and its successor run
+// already it waits until one of them has ended, and fails with ErrThird if that takes longer than within.
+func Join(dir string, within time.Duration) (*Process, error) {
 	if err := ownFolder(dir); err != nil {
 		return nil, err
 	}
@@ -67,23 +68,26 @@
 	if p.active, err = open(dir, activeLock); err != nil {
 		return nil, err
 	}
-	if tryLock(p.active, unix.LOCK_EX) {
-		p.alone = true
-		p.sweep()
-		return p, nil
-	}
-	if p.next, err = open(dir, nextLock); err != nil {
+	next, err := open(dir, nextLock)
+	if err != nil {
 		_ = p.active.Close()
 		return nil, err
 	}
-	if !tryLock(p.next, unix.LOCK_EX) {
-		time.Sleep(poll) // the process that serves may be looking whether it is held
-		if !tryLock(p.next, unix.LOCK_EX) {
+	// The successor's lock comes first: whoever holds it is the one to take the other, once that comes free.
+	for end := time.Now().Add(within); !tryLock(next, unix.LOCK_EX); time.Sleep(poll) {
+		if time.Now().After(end) {
 			_ = p.active.Close()
-			_ = p.next.Close()
+			_ = next.Close()
 			return nil, fmt.Errorf("%s: %w", dir, ErrThird)
 		}
 	}
+	if !tryLock(p.active, unix.LOCK_EX) {
+		p.next = next
+		return p, nil
+	}
+	_ = next.Close()
+	p.alone = true
+	p.sweep()
 	return p, nil
 }
 
@@ -234,21 +238,21 @@
 func (p *Process) Watch(came func(answer Answer), gone func()) {
 	go func() {
 		present, last := false, ""
+		look := time.NewTicker(watchPoll)
+		defer look.Stop()
 		for {
 			select {
 			case <-p.closed:
 				return
-			case <-time.After(poll):
+			case <-look.C:
 			}
 			if !p.serves() {
 				continue
 			}
-			token, err := os.ReadFile(filepath.Join(p.dir, requestFile))
-			switch asks := err == nil && string(token) != last; {
-			case asks && p.Succeeded():
-				present, last = true, string(token)
+			if token := p.requested(); token != "" && token != last && p.Succeeded() {
+				present, last = true, token
 				came(p.answerTo(last))
-			case present && !p.Succeeded():
+			} else if present && !p.Succeeded() {
 				present = false
 				gone()
 			}
@@ -256,6 +260,19 @@
 	}()
 }
 
+// requested is the token of the latest request; empty: there is none.
+func (p *Process) requested() string {
+	path := filepath.Join(p.dir, requestFile)
+	if err := unix.Access(path, unix.F_OK); err != nil { // nearly always; it costs less than an open that fails
+		return ""
+	}
+	token, err := os.ReadFile(path)
+	if err != nil {
+		return ""
+	}
+	return string(token)
+}
+
 // serves says whether this process holds the place of the one that serves.
 func (p *Process) serves() bool {
 	p.mu.Lock()
