--- a/cmd/larchusher/wiring.go
+++ b/cmd/larchusher/wiring.go
@@ -149,7 +149,7 @@
 func (p *program) listen() error {
 	most := p.shares().Clients
 	p.front = msgpackrpc.New(p.loop, p.gw, classNames(p.cfg.Settings.Classes), most, p.log)
-	l, err := p.engine.Listen(p.cfg.Listen, most, p.front.MakeRoom, p.front.Accept)
+	l, err := p.engine.Listen(p.cfg.Listen, most, p.front.EvictIdle, p.front.Accept)
 	if err != nil {
 		return err
 	}
@@ -211,7 +211,7 @@
 		}
 		p.signed = signedfront.New(p.loop, p.gw, api, share.Signed, p.cfg.Seed, p.log)
 		err = listen(s.Listen, "serving signed URLs", func(a string) (l *transport.Listener, err error) {
-			l, err = p.engine.Listen(a, share.Signed, p.signed.MakeRoom, p.signed.Accept)
+			l, err = p.engine.Listen(a, share.Signed, p.signed.EvictIdle, p.signed.Accept)
 			p.signedAt = l
 			return l, err
 		})
--- a/internal/net/console/console.go
+++ b/internal/net/console/console.go
@@ -41,20 +41,20 @@
 // Server answers calls. Its methods, but for Listen, run on the loop.
 type Server struct {
 	cfg     Config
-	callers *transport.Tenants
+	callers *transport.ConnTracker
 }
 
 // New returns a server that does not listen yet.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, callers: transport.NewTenants(cfg.Most)}
+	s := &Server{cfg: cfg, callers: transport.NewConnTracker(cfg.Most)}
 	cfg.Loop.After(sweep, s.sweep)
 	return s
 }
 
 // Listen takes calls at an address.
 func (s *Server) Listen(engine *transport.Engine, addr string) (*transport.Listener, error) {
-	makeRoom := func() { s.cfg.Loop.Post(func() { s.callers.MakeRoom(s.cfg.Loop.Now(), 1) }) }
-	return engine.Listen(addr, s.cfg.Most, makeRoom, func() transport.Handler { return &caller{server: s} })
+	evictIdle := func() { s.cfg.Loop.Post(func() { s.callers.EvictIdle(s.cfg.Loop.Now(), 1) }) }
+	return engine.Listen(addr, s.cfg.Most, evictIdle, func() transport.Handler { return &caller{server: s} })
 }
 
 // sweep closes callers that complete no call.
@@ -83,8 +83,8 @@
 	line   []byte // poller: what has come of the call
 	called bool   // poller: it has come whole
 
-	slot *transport.Tenant // loop
-	gone bool              // loop
+	slot *transport.TrackedConn // loop
+	gone bool                   // loop
 }
 
 // OnOpened takes a slot.
@@ -120,6 +120,6 @@
 func (c *caller) OnClosed(*transport.Conn, error) {
 	c.server.cfg.Loop.Post(func() {
 		c.gone = true
-		c.server.callers.Drop(c.slot)
+		c.server.callers.Remove(c.slot)
 	})
 }
--- a/internal/net/msgpackrpc/front.go
+++ b/internal/net/msgpackrpc/front.go
@@ -40,7 +40,7 @@
 	gateway *gateway.Gateway
 	log     logrus.FieldLogger
 	conns   map[*conn]bool
-	tenants *transport.Tenants
+	tracker *transport.ConnTracker
 	shut    bool // Shut was called
 
 	classes atomic.Pointer[map[string]string] // names, so that each is held once
@@ -51,7 +51,7 @@
 
 // New returns a front for so many connections. Its Accept makes the handlers of a listener.
 func New(loop *gateway.Loop, g *gateway.Gateway, classes []string, most int, log logrus.FieldLogger) *Front {
-	f := &Front{loop: loop, gateway: g, log: log, conns: map[*conn]bool{}, tenants: transport.NewTenants(most)}
+	f := &Front{loop: loop, gateway: g, log: log, conns: map[*conn]bool{}, tracker: transport.NewConnTracker(most)}
 	f.UseClasses(classes)
 	loop.After(sweep, f.sweep)
 	return f
@@ -90,7 +90,7 @@
 }
 
 // SetMost sets how many connections are held at once.
-func (f *Front) SetMost(most int) { f.tenants.SetMost(most) }
+func (f *Front) SetMost(most int) { f.tracker.SetMost(most) }
 
 // EndIdle ends all connections on which nothing is open and nothing has come that is not answered, and returns how many are
 // left. A request that crosses the end on its way is its client's to send anew.
@@ -109,15 +109,15 @@
 
 // idle says whether nothing is owed on the connection.
 func (c *conn) idle() bool {
-	return len(c.open) == 0 && c.tc.Quiet() && c.handed.Load() == 0 && c.tenant.Half.IsZero()
+	return len(c.open) == 0 && c.tc.Quiet() && c.handed.Load() == 0 && c.tracked.PartialSince.IsZero()
 }
 
-// MakeRoom has an idle connection closed, for one that waits to be accepted. It may be called from anywhere.
-func (f *Front) MakeRoom() { f.loop.Post(func() { f.tenants.MakeRoom(f.loop.Now(), 1) }) }
+// EvictIdle has an idle connection closed, for one that waits to be accepted. It may be called from anywhere.
+func (f *Front) EvictIdle() { f.loop.Post(func() { f.tracker.EvictIdle(f.loop.Now(), 1) }) }
 
 // sweep closes connections that hold their places for nothing.
 func (f *Front) sweep() {
-	f.tenants.Sweep(f.loop.Now(), nil)
+	f.tracker.Sweep(f.loop.Now(), nil)
 	f.loop.After(sweep, f.sweep)
 }
 
@@ -126,14 +126,14 @@
 	front *Front
 	buf   []byte // poller: bytes of a message that has not come whole
 
-	tc     *transport.Conn // loop: the rest
-	client *gateway.Client
-	open   map[uint64]*gateway.Request
-	tenant *transport.Tenant
-	gone   bool
-	half   bool         // poller: a part of a message has come
-	handed atomic.Int64 // pieces of work that were handed to the loop, and that it has not done
-	asked  atomic.Int64 // requests that were shed, and the loop has not counted
+	tc      *transport.Conn // loop: the rest
+	client  *gateway.Client
+	open    map[uint64]*gateway.Request
+	tracked *transport.TrackedConn
+	gone    bool
+	half    bool         // poller: a part of a message has come
+	handed  atomic.Int64 // pieces of work that were handed to the loop, and that it has not done
+	asked   atomic.Int64 // requests that were shed, and the loop has not counted
 
 	cancels cancels // that were read, and that the loop has not taken in
 }
@@ -181,9 +181,9 @@
 			tc.End(errEnding, transport.Linger)
 		} else if !c.gone {
 			c.tc = tc
-			c.tenant = c.front.tenants.Add(tc, c.front.loop.Now(), func() bool {
-				if n := c.asked.Swap(0); n > 0 && c.tenant != nil { // it is at work, though none of it is in work
-					c.tenant.Heard(c.front.loop.Now(), int(n), false)
+			c.tracked = c.front.tracker.Add(tc, c.front.loop.Now(), func() bool {
+				if n := c.asked.Swap(0); n > 0 && c.tracked != nil { // it is at work, though none of it is in work
+					c.tracked.Received(c.front.loop.Now(), int(n), false)
 				}
 				return len(c.open) > 0
 			})
@@ -289,7 +289,7 @@
 	c.front.loop.Post(func() {
 		c.gone = true
 		delete(c.front.conns, c)
-		c.front.tenants.Drop(c.tenant)
+		c.front.tracker.Remove(c.tracked)
 		for id, r := range c.open {
 			delete(c.open, id)
 			c.front.gateway.Abandon(r)
@@ -303,7 +303,7 @@
 	if c.gone || tc.Ended() {
 		return
 	}
-	c.tenant.Heard(c.front.loop.Now(), len(batch)+shed, half)
+	c.tracked.Received(c.front.loop.Now(), len(batch)+shed, half)
 	for _, w := range batch {
 		switch w.kind {
 		case wordCancel:
--- a/internal/net/signedfront/front.go
+++ b/internal/net/signedfront/front.go
@@ -32,7 +32,7 @@
 	api     *httpapi.API
 	log     logrus.FieldLogger
 	conns   map[*conn]bool
-	tenants *transport.Tenants
+	tracker *transport.ConnTracker
 	serial  uint64
 	seed    uint64
 	ending  bool
@@ -46,7 +46,7 @@
 // New returns a front for so many connections. Its Accept makes the handlers of a listener.
 func New(loop *gateway.Loop, g *gateway.Gateway, api *httpapi.API, most int, seed uint64, log logrus.FieldLogger) *Front {
 	f := &Front{loop: loop, gateway: g, api: api, log: log, conns: map[*conn]bool{}, seed: seed,
-		tenants: transport.NewTenants(most), Problems: map[string]uint64{}, Statuses: map[int]uint64{}}
+		tracker: transport.NewConnTracker(most), Problems: map[string]uint64{}, Statuses: map[int]uint64{}}
 	loop.After(sweep, f.sweep)
 	return f
 }
@@ -92,16 +92,16 @@
 }
 
 // SetMost sets how many connections are held at once.
-func (f *Front) SetMost(most int) { f.tenants.SetMost(most) }
+func (f *Front) SetMost(most int) { f.tracker.SetMost(most) }
 
-// MakeRoom has an idle connection closed, for one that waits to be accepted. It may be called from anywhere.
-func (f *Front) MakeRoom() { f.loop.Post(func() { f.tenants.MakeRoom(f.loop.Now(), 1) }) }
+// EvictIdle has an idle connection closed, for one that waits to be accepted. It may be called from anywhere.
+func (f *Front) EvictIdle() { f.loop.Post(func() { f.tracker.EvictIdle(f.loop.Now(), 1) }) }
 
 // sweep closes connections that hold their places for nothing; one whose request does not come to its end is told.
 func (f *Front) sweep() {
-	f.tenants.Sweep(f.loop.Now(), func(n *transport.Tenant) {
+	f.tracker.Sweep(f.loop.Now(), func(n *transport.TrackedConn) {
 		for c := range f.conns {
-			if c.tenant == n && !c.last {
+			if c.tracked == n && !c.last {
 				c.last = true
 				c.problem(&httpapi.Problem{Status: http.StatusRequestTimeout, Reason: "the request did not come whole"})
 			}
@@ -117,7 +117,7 @@
 	client  *gateway.Client
 	buf     []byte
 	at      time.Time // when the latest bytes came
-	tenant  *transport.Tenant
+	tracked *transport.TrackedConn
 	busy    *httpapi.Admitted // the request in work
 	turn    gateway.Turn      // of checking the next request
 	checks  bool              // it waits for that
@@ -133,7 +133,7 @@
 			tc.End(errEnding, transport.Linger)
 		} else if !c.gone {
 			c.tc = tc
-			c.tenant = c.front.tenants.Add(tc, c.front.loop.Now(), func() bool { return c.busy != nil || c.checks })
+			c.tracked = c.front.tracker.Add(tc, c.front.loop.Now(), func() bool { return c.busy != nil || c.checks })
 			c.front.conns[c] = true
 			c.client = c.front.gateway.Join(tc.Waiting, tc.Close)
 		}
@@ -158,7 +158,7 @@
 	c.front.loop.Post(func() {
 		c.gone = true
 		delete(c.front.conns, c)
-		c.front.tenants.Drop(c.tenant)
+		c.front.tracker.Remove(c.tracked)
 		c.front.gateway.Withdraw(&c.turn)
 		if c.busy != nil {
 			ad := c.busy
@@ -193,11 +193,11 @@
 			return
 		}
 		if h == nil {
-			c.tenant.Heard(c.front.loop.Now(), 0, true)
+			c.tracked.Received(c.front.loop.Now(), 0, true)
 			return
 		}
 		if len(c.buf) < size+h.length {
-			c.tenant.Heard(c.front.loop.Now(), 0, true)
+			c.tracked.Received(c.front.loop.Now(), 0, true)
 			if h.expect && !c.proceed {
 				c.proceed = true
 				_ = c.tc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
@@ -207,7 +207,7 @@
 		body := append([]byte(nil), c.buf[size:size+h.length]...)
 		c.buf = append(c.buf[:0], c.buf[size+h.length:]...)
 		c.proceed, c.last = false, !h.keep || c.front.ending
-		c.tenant.Heard(c.front.loop.Now(), 1, false)
+		c.tracked.Received(c.front.loop.Now(), 1, false)
 		c.request(h, body, c.at)
 	}
 }
@@ -277,7 +277,7 @@
 // respond writes one answer.
 func (c *conn) respond(r httpapi.Response, headOnly bool) {
 	c.front.Statuses[r.Status]++
-	c.tenant.Active = c.front.loop.Now()
+	c.tracked.LastActive = c.front.loop.Now()
 	b := append(make([]byte, 0, 512), "HTTP/1.1 "...)
 	b = append(strconv.AppendInt(b, int64(r.Status), 10), ' ')
 	b = append(append(b, http.StatusText(r.Status)...), "\r\n"...)
--- a/test/crossing_test.go
+++ b/test/crossing_test.go
@@ -72,7 +72,7 @@
 		t.Fatal(err)
 	}
 	in.front = msgpackrpc.New(in.loop, in.gw, []string{"films", "images", "orders"}, 100, log)
-	l, err := in.engine.Listen("127.0.0.1:0", 100, in.front.MakeRoom, in.front.Accept)
+	l, err := in.engine.Listen("127.0.0.1:0", 100, in.front.EvictIdle, in.front.Accept)
 	if err != nil {
 		t.Fatal(err)
 	}
