A process leaves its clients only to a successor that takes clients; one cold budget also without state

Cause, by reading: SIGTERM before the successor served had the old process end its connections for nobody; a successor that got no state spent on cold stores beside a process that did not know of it. Checked: handover tests, TestColdStoresHaveOneBudgetOverAnUpgrade on real processes.

--- a/cmd/larchusher/drain.go
+++ b/cmd/larchusher/drain.go
@@ -25,7 +25,7 @@
 	if p.keeper != nil {
 		p.keeper.Final(p.gw.Clock(p.loop.Now()))
 	}
-	if p.succeeded() {
+	if p.takenOver() {
 		p.yield()
 		return
 	}
--- a/cmd/larchusher/upgrade.go
+++ b/cmd/larchusher/upgrade.go
@@ -112,11 +112,14 @@
 	}
 	if p.process.Successor() {
 		p.useShares(overlapShare)
-		p.gw.PauseCold(p.cfg.Settings.FallFor)
+		p.takeColdBudget(learned != nil)
 		p.process.AwaitAlone(func() {
 			p.loop.Post(func() {
 				p.log.Info("upgrade: the former process has ended")
 				p.useShares(1)
+				if learned == nil {
+					p.takeColdBudget(true)
+				}
 			})
 		})
 	}
@@ -126,11 +129,21 @@
 		p.loop.Post(func() {
 			p.log.Warn("upgrade: the new process has ended; going on")
 			p.useShares(1)
-			p.gw.PauseCold(p.cfg.Settings.FallFor)
+			p.takeColdBudget(true)
 		})
 	})
 }
 
+// takeColdBudget has this process send to cold stores once a whole window has passed since the other one has stopped: it has
+// stopped now, or (false) it does not know of this one and goes on until it ends.
+func (p *program) takeColdBudget(stopped bool) {
+	if stopped {
+		p.gw.PauseCold(p.cfg.Settings.FallFor)
+	} else {
+		p.gw.PauseCold(-1)
+	}
+}
+
 // handState hands this process's state to its successor. From this moment on the successor has the budget for cold stores.
 func (p *program) handState(answer handover.Answer) {
 	p.log.Info("upgrade: handing over to a new process")
@@ -183,8 +196,19 @@
 	debug.SetMemoryLimit(int64(part * memoryPart * float64(p.cfg.Limits.MemoryMB<<20)))
 }
 
-// succeeded says whether a new process takes over from this one.
-func (p *program) succeeded() bool { return p.process != nil && p.process.Succeeded() }
+// takenOver says whether a new process takes clients in place of this one.
+func (p *program) takenOver() bool { return p.process != nil && p.process.TakenOver() }
+
+// serve notes that clients are taken from now on.
+func (p *program) serve() {
+	p.serving = true
+	if p.process == nil {
+		return
+	}
+	if err := p.process.Serve(); err != nil {
+		p.log.WithError(err).Warn("upgrade: the process that serves cannot be told that this one does")
+	}
+}
 
 // yield leaves clients to the successor: nothing new is accepted, and each connection ends as soon as nothing is open on it.
 func (p *program) yield() {
--- a/cmd/larchusher/wiring.go
+++ b/cmd/larchusher/wiring.go
@@ -63,7 +63,7 @@
 		p.closeRest()
 	}
 	p.log.WithField("listen", p.clients.Addr().String()).Info("serving")
-	p.loop.Post(func() { p.serving = true })
+	p.loop.Post(p.serve)
 	return nil
 }
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -22,11 +22,12 @@
 )
 
 const (
-	activeLock   = "active.lock" // held by the process that serves
-	nextLock     = "next.lock"   // held by its successor while both run
-	requestFile  = "request"     // the successor's: it holds a token
-	statePrefix  = "state-"      // followed by the token: the answer
-	socketPrefix = "sockets-"    // likewise: a Unix socket of the successor's, which takes listening sockets
+	activeLock   = "active.lock"  // held by the process that serves
+	nextLock     = "next.lock"    // held by its successor while both run
+	servingLock  = "serving.lock" // held by the successor once it takes clients, while both run
+	requestFile  = "request"      // the successor's: it holds a token
+	statePrefix  = "state-"       // followed by the token: the answer
+	socketPrefix = "sockets-"     // likewise: a Unix socket of the successor's, which takes listening sockets
 	partial      = ".tmp"
 	folderMode   = 0o700
 	fileMode     = 0o600
@@ -47,9 +48,10 @@
 
 // Process is this process's place in a handover.
 type Process struct {
-	dir    string
-	active *os.File // holds activeLock, or waits for it
-	next   *os.File // holds nextLock; nil: this process was alone at its start
+	dir     string
+	active  *os.File // holds activeLock, or waits for it
+	next    *os.File // holds nextLock; nil: this process was alone at its start
+	serving *os.File // holds servingLock; nil: it does not
 
 	mu     sync.Mutex
 	alone  bool
@@ -197,6 +199,24 @@
 	return nil
 }
 
+// Serve tells the process that this one takes over from that clients are served here from now on.
+func (p *Process) Serve() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.next == nil || p.alone || p.serving != nil {
+		return nil
+	}
+	f, err := open(p.dir, servingLock)
+	if err != nil {
+		return err
+	}
+	for !tryLock(f, unix.LOCK_EX) { // the other process may be looking whether it is held
+		time.Sleep(time.Millisecond)
+	}
+	p.serving = f
+	return nil
+}
+
 // AwaitAlone calls alone, on a goroutine of its own, once the process that this one takes over from has ended.
 func (p *Process) AwaitAlone(alone func()) {
 	go func() {
@@ -209,6 +229,9 @@
 		}
 		p.mu.Lock()
 		p.alone = true
+		if p.serving != nil {
+			_ = p.serving.Close()
+		}
 		_ = p.next.Close() // the next one may come
 		p.mu.Unlock()
 		p.sweep()
@@ -281,11 +304,14 @@
 }
 
 // Succeeded says whether a successor of this process runs.
-func (p *Process) Succeeded() bool {
-	if !p.serves() {
-		return false
-	}
-	probe, err := open(p.dir, nextLock)
+func (p *Process) Succeeded() bool { return p.serves() && p.held(nextLock) }
+
+// TakenOver says whether a successor of this process runs and takes clients.
+func (p *Process) TakenOver() bool { return p.Succeeded() && p.held(servingLock) }
+
+// held says whether another process holds a lock.
+func (p *Process) held(name string) bool {
+	probe, err := open(p.dir, name)
 	if err != nil {
 		return false
 	}
@@ -300,6 +326,9 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		_ = p.active.Close()
+		if p.serving != nil {
+			_ = p.serving.Close()
+		}
 		if p.next != nil {
 			_ = p.next.Close()
 		}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -82,6 +82,12 @@
 	if _, err := Join(dir, 5*poll); !errors.Is(err, ErrThird) {
 		t.Errorf("a third one: %v", err)
 	}
+	if first.TakenOver() {
+		t.Error("the successor takes no clients yet")
+	}
+	if err := second.Serve(); err != nil || !first.TakenOver() {
+		t.Errorf("the successor takes clients: %v", err)
+	}
 	alone := make(chan struct{})
 	second.AwaitAlone(func() { close(alone) })
 	select {
@@ -92,7 +98,7 @@
 	first.Close()
 	await(t, "the former process has ended", alone)
 	third := join(t, dir)
-	if !third.Successor() || !second.Succeeded() {
+	if !third.Successor() || !second.Succeeded() || second.TakenOver() {
 		t.Error("the successor has not taken the place of the one that serves")
 	}
 }
--- a/test/upgrade_test.go
+++ b/test/upgrade_test.go
@@ -219,6 +219,48 @@
 	}
 }
 
+// While two processes run neither overdraws what a cold store may be sent: nothing goes there for a whole window from the moment
+// at which the state goes over, and then it has its part.
+func TestColdStoresHaveOneBudgetOverAnUpgrade(t *testing.T) {
+	const window = 2 * time.Second // settings.invariants.overloadForMs
+	r := newRig(t).shared()
+	cold := strings.Replace(r.host("c1", "SERVING"), `"since_ms":0`, fmt.Sprintf(`"since_ms":%d`, time.Now().UnixMilli()), 1)
+	r.start()
+	r.journal.Tell(2, `"hosts":{"index":2,"snapshot":false,"endpoints":[`+cold+`]}`)
+	eventually(t, "the start is heard of", func() bool { return r.counter("journal_events") == 1 })
+	toCold := func() (n int) {
+		for _, a := range r.asks("") {
+			if a.Store.Name == "c1" {
+				n++
+			}
+		}
+		return n
+	}
+	number := 0
+	load := func(enough func() bool) { // 200 requests a second, each for an object of its own
+		for end := time.Now().Add(patience); !enough(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("the cold store gets nothing")
+			}
+			c := r.client()
+			number++
+			c.send("images", fmt.Sprintf("%016x", number), 2*time.Second, "")
+			c.next()
+			c.conn.Close()
+		}
+	}
+	load(func() bool { return toCold() > 0 })
+	r.beside()
+	r.logged("handing over to a new process") // a moment ago
+	before, until := toCold(), time.Now().Add(window*4/5)
+	load(func() bool { return time.Now().After(until) })
+	if n := toCold() - before; n != 0 {
+		t.Errorf("%d requests went to the cold store within a window", n)
+	}
+	r.signal(syscall.SIGTERM)
+	load(func() bool { return toCold() > before })
+}
+
 // Where no Unix socket can be made, for a path that is too long, the new process listens beside the former one.
 func TestAnUpgradeWithoutUnixSockets(t *testing.T) {
 	r := newRig(t)
