Pool of connections to stores and the gateway's intake: one file a job

Moves only: pool.go (593 lines) into pool, conn, request and answer; intake.go (426) into intake, stalls and loadvalues. Compared line by line: no line but package and import lines differs. Tests of both packages pass.

--- a/gateway/intake.go
+++ b/gateway/intake.go
@@ -1,15 +1,12 @@
 package gateway
 
 import (
-	"errors"
 	"fmt"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/sys/unix"
 
-	"larchusher/internal/metrics"
 	"larchusher/overload"
 )
 
@@ -29,8 +26,6 @@
 
 const spareShare = 3 // a part of the longest wait as small is that of a refusal that takes work
 
-const sweepTicks = 5 // ticks between two looks at what waits for slow clients
-
 // intake is the part of a gateway that stands before the director: who comes in, who waits, who is shed. It feeds
 // package overload, which decides, and carries out what that says.
 type intake struct {
@@ -56,18 +51,6 @@
 	Load LoadCounters
 }
 
-// LoadCounters count what the gateway did about load.
-type LoadCounters struct {
-	Overdue   uint64 // requests refused since they had waited for their turn for too long
-	NoMemory  uint64 // refused since their client leaves too many answers unread, or all do
-	SlowEnded uint64 // clients closed since they left answers unread while memory ran short
-	Peak      int64  // most bytes taken by answers on their way
-
-	Waits  *hdrhistogram.Histogram // for a turn, in microseconds
-	Delays *hdrhistogram.Histogram // of the loop: from when something was posted until it ran
-	Behind *hdrhistogram.Histogram // of what reads from connections
-}
-
 // Client is whoever a request's answer goes to, where that may be slow to take it. It is made by [Gateway.Join].
 type Client struct {
 	part    *overload.Client
@@ -295,128 +278,3 @@
 		r.reserved = 0
 	}
 }
-
-// late is told of late timers. If the host stood still, what came meanwhile is taken in before any deadline is
-// looked at: answers may lie in the sockets that make it void.
-func (g *Gateway) late(time.Duration) bool {
-	if !g.beaten() || g.cfg.Echo == nil {
-		return false
-	}
-	g.cfg.Echo(func() { g.cfg.Loop.Post(g.cfg.Loop.release) })
-	return true
-}
-
-// beaten looks for a stall since it last did.
-func (g *Gateway) beaten() bool {
-	stalled := g.pulse.Beat(g.now(), processorTime())
-	if stalled <= 0 {
-		return false
-	}
-	g.lost += stalled
-	if g.pulse.Often(g.now()) {
-		g.queue.Lost(stalled)
-	} else {
-		g.sample.Stalled = true
-		g.queue.Stalled(g.now(), stalled)
-	}
-	return true
-}
-
-// echo asks how late reading is, if anything was offered since it last did. Guards against an overload that no queue
-// shows: what has come lies in the sockets.
-func (g *Gateway) echo(now time.Time) {
-	if n := g.door().Total(); g.cfg.Echo == nil || !g.echoed.IsZero() || n == g.offered {
-		return
-	} else {
-		g.offered = n
-	}
-	g.echoed, g.echoAt = now, g.lost
-	g.cfg.Echo(func() {
-		at := time.Now()
-		g.cfg.Loop.Post(func() {
-			by := max(0, at.Sub(now)-(g.lost-g.echoAt))
-			_ = g.Load.Behind.RecordValue(by.Microseconds())
-			g.behind, g.echoed = max(g.behind, by), time.Time{}
-		})
-	})
-}
-
-// errSlow ends a client that leaves its answers unread while memory runs short.
-var errSlow = errors.New("its answers stay unread, and memory runs short")
-
-// processorTime is what the program has used so far.
-func processorTime() time.Duration {
-	var u unix.Rusage
-	if unix.Getrusage(unix.RUSAGE_SELF, &u) != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
-// beat is the gateway's look at itself, once a tick.
-func (g *Gateway) beat() {
-	loop := g.cfg.Loop
-	g.beaten()
-	now := loop.Now()
-	s := &g.sample
-	s.Span = max(time.Millisecond, now.Sub(g.ticked)-(g.lost-g.tickLost))
-	g.ticked, g.tickLost = now, g.lost
-	s.Oldest = max(s.Oldest, g.queue.Oldest(g.now()))
-	if !g.echoed.IsZero() { // it is still out: so late at least
-		g.behind = max(g.behind, now.Sub(g.echoed)-(g.lost-g.echoAt))
-	}
-	s.Grace = g.queue.Grace(g.now())
-	s.Waiting = g.queue.Waiting()
-	s.Behind, s.Pressure = g.behind, g.memory.Pressure()
-	g.door().Set(g.ruler.Tick(*s, g.door()))
-	*s = overload.Sample{}
-	g.behind = 0
-	g.tier()
-	g.echo(now)
-	if g.ticks++; g.ticks%sweepTicks == 0 {
-		g.health.Update(g.now(), g.ruler.Level())
-		for _, c := range g.memory.Sweep(g.now(), func(p *overload.Client) int64 { return p.Value.(*Client).waiting() }) {
-			g.Load.SlowEnded++
-			c.Value.(*Client).close(errSlow)
-		}
-	}
-	loop.After(g.cfg.Overload.Tick, g.beat)
-}
-
-// LoadValues are what was seen of load and done about it. Requests that the door shed are told by front and band.
-func (g *Gateway) LoadValues() (all []metrics.Value) {
-	add := func(kind metrics.Kind, name, help string, v float64, labels ...metrics.Label) {
-		all = append(all, metrics.Value{Name: name, Help: help, Kind: kind, Value: v, Labels: labels})
-	}
-	l := &g.Load
-	add(metrics.Counter, "load_overdue", "Requests refused since they had waited for their turn for too long.", float64(l.Overdue))
-	add(metrics.Counter, "load_no_memory", "Requests refused for want of memory for their answers.", float64(l.NoMemory))
-	add(metrics.Counter, "load_slow_ended", "Clients closed since they left answers unread.", float64(l.SlowEnded))
-	add(metrics.Gauge, "load_memory_peak", "Most bytes that answers on their way have taken.", float64(l.Peak))
-	add(metrics.Gauge, "load_memory", "Bytes that answers on their way take.", float64(g.memory.Used()))
-	add(metrics.Counter, "load_stalls", "Times that the host stood still.", float64(g.pulse.Stalls))
-	add(metrics.Counter, "load_stalled_ms", "Milliseconds that it did.", float64(g.pulse.Lost.Milliseconds()))
-	add(metrics.Gauge, "load_level", "Share of the offer that is shed.", g.ruler.Level())
-	add(metrics.Gauge, "load_weight", "Weight told to balancers, in percent.", float64(g.health.Weight()))
-	add(metrics.Gauge, "load_waiting", "Requests that wait for their turn.", float64(g.queue.Len()))
-	for _, h := range []struct {
-		name, help string
-		of         *hdrhistogram.Histogram
-	}{{"load_turn_seconds", "Waits of requests for their turn.", l.Waits},
-		{"load_loop_seconds", "Delay of the loop, from when something is posted until it runs.", l.Delays},
-		{"load_poll_seconds", "Lateness in reading what has come.", l.Behind}} {
-		v := metrics.Value{Name: h.name, Help: h.help, Kind: metrics.Quantiles, Count: uint64(h.of.TotalCount()),
-			Sum: h.of.Mean() * float64(h.of.TotalCount()) / 1e6, At: map[float64]float64{}}
-		for _, q := range []float64{0.5, 0.99, 0.999, 1} {
-			v.At[q] = float64(h.of.ValueAtQuantile(100*q)) / 1e6
-		}
-		all = append(all, v)
-	}
-	for f := range fronts {
-		for band, n := range g.admissions.sheds(f) {
-			add(metrics.Counter, "load_shed", "Requests shed at the door, by front and band.", float64(n),
-				metrics.Label{Name: "front", Value: f.String()}, metrics.Label{Name: "band", Value: band})
-		}
-	}
-	return all
-}
