--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -617,3 +617,27 @@
 	half.ended()
 	later.ended()
 }
+
+// A client that writes its request slowly, in pieces over somewhat more than 2 s, is answered: on a fresh connection, and behind an
+// earlier request.
+func TestARequestThatIsWrittenSlowly(t *testing.T) {
+	const pieces, over = 10, 2300 * time.Millisecond
+	r := newRig(t).start()
+	fresh, used := r.client(), r.client()
+	used.send("images", object, 2*time.Second, "")
+	used.next()
+	request := [2][]byte{fresh.request("images", object, 5*time.Second, ""), used.request("images", object, 5*time.Second, "")}
+	began := time.Now()
+	for i := range pieces {
+		time.Sleep(time.Until(began.Add(over * time.Duration(i) / (pieces - 1))))
+		for n, c := range [2]*client{fresh, used} {
+			b := request[n]
+			c.raw(b[len(b)*i/pieces : len(b)*(i+1)/pieces])
+		}
+	}
+	for _, c := range [2]*client{fresh, used} {
+		if a := c.next(); a.err != "" {
+			t.Errorf("%+v", a)
+		}
+	}
+}
