Handover: files are swept before the next process may ask; one that drains is no successor to leave clients to

By reading: a request written right after the former process's end could be swept away (its state would have come 2 s late, or not at all); and two processes told to end together would have left their clients to each other.

--- a/cmd/larchusher/drain.go
+++ b/cmd/larchusher/drain.go
@@ -29,6 +29,9 @@
 		p.yield()
 		return
 	}
+	if p.process != nil {
+		p.process.StopServing()
+	}
 	began := p.loop.Now()
 	p.loop.After(graceAfterTerm, func() {
 		for _, l := range p.accept {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -87,9 +87,9 @@
 		p.next = next
 		return p, nil
 	}
-	_ = next.Close()
 	p.alone = true
 	p.sweep()
+	_ = next.Close() // last: a successor may ask from now on
 	return p, nil
 }
 
@@ -217,6 +217,20 @@
 	return nil
 }
 
+// StopServing takes back what Serve has told: this process is about to end.
+func (p *Process) StopServing() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopServing()
+}
+
+func (p *Process) stopServing() {
+	if p.serving != nil {
+		_ = p.serving.Close()
+		p.serving = nil
+	}
+}
+
 // AwaitAlone calls alone, on a goroutine of its own, once the process that this one takes over from has ended.
 func (p *Process) AwaitAlone(alone func()) {
 	go func() {
@@ -229,12 +243,10 @@
 		}
 		p.mu.Lock()
 		p.alone = true
-		if p.serving != nil {
-			_ = p.serving.Close()
-		}
-		_ = p.next.Close() // the next one may come
-		p.mu.Unlock()
+		p.stopServing()
 		p.sweep()
+		_ = p.next.Close() // last: the next one may ask from now on
+		p.mu.Unlock()
 		alone()
 	}()
 }
@@ -326,9 +338,7 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		_ = p.active.Close()
-		if p.serving != nil {
-			_ = p.serving.Close()
-		}
+		p.stopServing()
 		if p.next != nil {
 			_ = p.next.Close()
 		}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -88,6 +88,10 @@
 	if err := second.Serve(); err != nil || !first.TakenOver() {
 		t.Errorf("the successor takes clients: %v", err)
 	}
+	second.StopServing()
+	if first.TakenOver() {
+		t.Error("the successor takes no clients any more")
+	}
 	alone := make(chan struct{})
 	second.AwaitAlone(func() { close(alone) })
 	select {
