A connection that is never idle outlives no upgrade: a test, known to be red

The former processes live for 3.49 s from SIGTERM and print no counters: they are killed. Counters twice a second (trial): they go on taking some 60 requests in each half second until then, on connections that never fall idle (answers take 0.4 to 0.6 s there). Ruled out: answers of failure by the gateway (none was logged), connections that were not taken (0).

--- a/test/upgrade_test.go
+++ b/test/upgrade_test.go
@@ -219,6 +219,46 @@
 	}
 }
 
+// A connection on which something is always open, and one with a message that has come in part, go over to the new process: the next
+// request is on its way before each answer is. The client notices nothing.
+func TestABusyConnectionGoesOverToTheNewProcess(t *testing.T) {
+	const rounds = 20
+	r := newRig(t).shared().start()
+	held := make(chan *ask, 10)
+	r.on(func(a *ask) { held <- a })
+	c, slow := r.client(), r.client()
+	c.send("films", object, 5*time.Second, "")
+	open := next(t, held)
+	request := slow.request("films", object, 5*time.Second, "")
+	slow.raw(request[:len(request)/2])
+	second, console := r.beside()
+	r.signal(syscall.SIGTERM)
+	r.logged("leaving clients to the new process")
+	for i := range rounds {
+		c.send("films", object, 5*time.Second, "")
+		done(open)
+		if a := c.next(); a.err != "" {
+			t.Fatalf("request %d: %+v", i, a)
+		}
+		open = next(t, held)
+	}
+	done(open)
+	if a := c.next(); a.err != "" {
+		t.Errorf("the last: %+v", a)
+	}
+	slow.raw(request[len(request)/2:])
+	done(next(t, held))
+	if a := slow.next(); a.err != "" {
+		t.Errorf("in two parts: %+v", a)
+	}
+	if err := r.ended(); err != nil {
+		t.Errorf("the former process: %v", err)
+	}
+	if got := second.figures(console)["success.films"]; got < rounds {
+		t.Errorf("the new process has answered %d", got)
+	}
+}
+
 // While two processes run neither overdraws what a cold store may be sent: nothing goes there for a whole window from the moment
 // at which the state goes over, and then it has its part.
 func TestColdStoresHaveOneBudgetOverAnUpgrade(t *testing.T) {
