Clients' connections go over to the new process, each once nothing is open on it

Change: Front.Hold and MoveIdle, transport.StopReading, Detach and Adopt, handover.Link; all answered by min(longest deadline, 3 s) + 0.5 s.

--- a/cmd/larchusher/drain.go
+++ b/cmd/larchusher/drain.go
@@ -53,6 +53,16 @@
 	return longest
 }
 
+// answerWithin is how long after SIGTERM all must be answered where a new process has taken over: the kill comes 0.7 s behind
+// the longest deadline, which counts as 3 s where it is longer.
+func (p *program) answerWithin() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range p.cfg.Settings.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, leastDeadline) + lastAnswers
+}
+
 // finish ends the program once nothing is open any more, or at the last moment with an answer to what is.
 func (p *program) finish(last time.Time) {
 	now := p.loop.Now()
--- a/cmd/larchusher/serve.go
+++ b/cmd/larchusher/serve.go
@@ -45,6 +45,8 @@
 	accept []*transport.Listener
 	book   *journal.Book
 
+	moves     *handover.Receiver  // of clients' connections of a former process; nil: none come
+	successor *handover.Link      // to which clients' connections go over; nil: they do not
 	process   *handover.Process   // nil: no other process of this gateway can take over
 	since     string              // fingerprint of the journal's events at the start
 	clients   *transport.Listener // of the platform's front
--- a/cmd/larchusher/upgrade.go
+++ b/cmd/larchusher/upgrade.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"time"
 
@@ -15,6 +17,7 @@
 
 	"larchusher/internal/handover"
 	"larchusher/internal/net/journal"
+	"larchusher/internal/net/transport"
 	"larchusher/knowledge"
 )
 
@@ -22,14 +25,14 @@
 // that one is sent SIGTERM and has answered what is open.
 
 const (
-	turnWithin    = 3 * time.Second       // for which a third process waits until one of the two that run has ended
-	stateWithin   = 2 * time.Second       // for which a new process waits for the state of the one that serves
-	overlapShare  = 0.4                   // of its descriptors and memory that each process may use while both run
-	listingsMost  = 20000                 // listings that are handed over
-	queueWithin   = 50 * time.Millisecond // until what the kernel had accepted is known to the fronts
-	closeIdleTick = 5 * time.Millisecond  // between two looks for connections that can end
-	stateFormat   = 1                     // of handedState; another one is not used
-	memoryPart    = 0.6                   // of the limit on memory at which garbage is collected at once
+	turnWithin   = 3 * time.Second       // for which a third process waits until one of the two that run has ended
+	stateWithin  = 2 * time.Second       // for which a new process waits for the state of the one that serves
+	overlapShare = 0.4                   // of its descriptors and memory that each process may use while both run
+	listingsMost = 20000                 // listings that are handed over
+	queueWithin  = 50 * time.Millisecond // until what the kernel had accepted is known to the fronts
+	leaveTick    = 2 * time.Millisecond  // between two looks for connections that can go
+	stateFormat  = 1                     // of handedState; another one is not used
+	memoryPart   = 0.6                   // of the limit on memory at which garbage is collected at once
 )
 
 // handedState is what a process hands over to its successor.
@@ -56,7 +59,8 @@
 	if err != nil || addr.Port() == 0 { // whoever draws its port has no address in common with anybody
 		return nil
 	}
-	name := fmt.Sprintf("larchusher-%d-%x", os.Geteuid(), xxhash.Sum64String(p.cfg.Listen))
+	// Short: a Unix socket in it has a path of 107 bytes at most.
+	name := fmt.Sprintf("larchusher-%012x", xxhash.Sum64String(fmt.Sprintf("%d %s", os.Geteuid(), p.cfg.Listen))>>16)
 	p.process, err = handover.Join(filepath.Join(os.TempDir(), name), turnWithin)
 	if err != nil {
 		p.process = nil
@@ -83,7 +87,7 @@
 	if err == nil {
 		err = json.Unmarshal(handed.State, &state)
 	}
-	p.closeRest = p.engine.Inherit(handed.Sockets)
+	p.closeRest, p.moves = p.engine.Inherit(handed.Sockets), handed.Moves
 	if handed.Missed != nil {
 		p.log.WithError(handed.Missed).Warn("upgrade: listening beside the process that serves")
 	}
@@ -159,12 +163,14 @@
 			state.Learned = nil
 			data, err = json.Marshal(state)
 		}
+		var link *handover.Link
 		if err == nil {
-			err = answer(data, sockets)
+			link, err = answer(data, sockets)
 		}
 		if err != nil {
 			p.log.WithError(err).Error("upgrade: not all is handed over")
 		}
+		p.loop.Post(func() { p.successor = link })
 	}()
 }
 
@@ -210,10 +216,53 @@
 	}
 }
 
-// yield leaves clients to the successor: nothing new is accepted, and each connection ends as soon as nothing is open on it.
+// adopt serves clients' connections that the former process hands over, until it has ended.
+func (p *program) adopt() {
+	for {
+		moved, err := p.moves.Next()
+		if err != nil {
+			p.moves.Close()
+			return
+		}
+		conn, err := net.FileConn(moved.File)
+		_ = moved.File.Close()
+		if err != nil {
+			p.log.WithError(err).Warn("upgrade: a connection that was handed over")
+			continue
+		}
+		at := slices.IndexFunc(p.accept, func(l *transport.Listener) bool { return l.Addr().String() == moved.Addr })
+		if at < 0 {
+			p.log.WithField("listen", moved.Addr).Warn("upgrade: a connection of an address that is not served")
+			_ = conn.Close()
+			continue
+		}
+		now := time.Now()
+		var pieces []transport.Piece
+		for _, piece := range moved.Pieces {
+			pieces = append(pieces, transport.Piece{Data: piece.Data, At: now.Add(-piece.Age)})
+		}
+		p.accept[at].Adopt(conn, pieces)
+	}
+}
+
+// move hands a client's connection to the successor.
+func (p *program) move(conn *transport.Conn, pieces []transport.Piece) error {
+	now := time.Now()
+	var over []handover.Piece
+	for _, piece := range pieces {
+		over = append(over, handover.Piece{Data: piece.Data, Age: now.Sub(piece.At)})
+	}
+	addr := p.clients.Addr().String()
+	return conn.Detach(func(descriptor int) error { return p.successor.Move(addr, over, descriptor) })
+}
+
+// yield leaves clients to the successor: nothing new is accepted, and each connection goes over as soon as nothing is open on it.
+// Where connections can't go over they end in that moment.
 func (p *program) yield() {
 	p.log.Info("upgrade: leaving clients to the new process")
-	began := p.loop.Now()
+	if p.successor != nil {
+		p.front.Hold()
+	}
 	for _, l := range p.accept {
 		l.Yield()
 	}
@@ -223,15 +272,25 @@
 	if p.signed != nil {
 		p.signed.End()
 	}
-	last := began.Add(p.longest() + lastAnswers)
-	p.loop.After(queueWithin, func() { p.endIdle(last) })
+	began := p.loop.Now()
+	p.leaveIdle(began.Add(queueWithin), began.Add(p.answerWithin()))
 }
 
-// endIdle ends connections that are idle, and goes on until none is left or the last moment has come.
-func (p *program) endIdle(last time.Time) {
-	left := p.front.EndIdle()
-	if p.loop.Now().Before(last) && (left > 0 || p.gw.Open() > 0) {
-		p.loop.After(closeIdleTick, func() { p.endIdle(last) })
+// leaveIdle lets connections go on which nothing is open, until none is left, or at the last moment with an answer to what is
+// open. It goes on for a while in any case: what the kernel had accepted may still be on its way.
+func (p *program) leaveIdle(least, last time.Time) {
+	now := p.loop.Now()
+	if !now.Before(last) {
+		p.gw.Close()
+	}
+	var left int
+	if p.successor != nil {
+		left = p.front.MoveIdle(p.move)
+	} else {
+		left = p.front.EndIdle()
+	}
+	if now.Before(least) || now.Before(last) && (left > 0 || p.gw.Open() > 0) {
+		p.loop.After(leaveTick, func() { p.leaveIdle(least, last) })
 		return
 	}
 	p.finish(last)
--- a/cmd/larchusher/wiring.go
+++ b/cmd/larchusher/wiring.go
@@ -62,6 +62,9 @@
 	if p.closeRest != nil {
 		p.closeRest()
 	}
+	if p.moves != nil {
+		go p.adopt()
+	}
 	p.log.WithField("listen", p.clients.Addr().String()).Info("serving")
 	p.loop.Post(p.serve)
 	return nil
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -27,7 +27,7 @@
 	servingLock  = "serving.lock" // held by the successor once it takes clients, while both run
 	requestFile  = "request"      // the successor's: it holds a token
 	statePrefix  = "state-"       // followed by the token: the answer
-	socketPrefix = "sockets-"     // likewise: a Unix socket of the successor's, which takes listening sockets
+	socketPrefix = "s-"           // likewise: a Unix socket of the successor\'s, which takes sockets. Short: a path has 107 bytes at most
 	partial      = ".tmp"
 	folderMode   = 0o700
 	fileMode     = 0o600
@@ -144,6 +144,7 @@
 type Handed struct {
 	State   []byte
 	Sockets map[string]*os.File // by their addresses
+	Moves   *Receiver           // of clients' connections, later; nil: none will come
 	Missed  error               // why there are no sockets; nil: there are
 }
 
@@ -155,7 +156,7 @@
 		return h, fmt.Errorf("the handover's token: %w", err)
 	}
 	name := hex.EncodeToString(token)
-	sockets, missed := net.ListenUnix("unix", &net.UnixAddr{Name: p.socketPath(name), Net: "unix"})
+	sockets, missed := net.ListenUnix(network, &net.UnixAddr{Name: p.socketPath(name), Net: network})
 	if missed == nil {
 		defer sockets.Close() // and removes it
 	}
@@ -166,7 +167,7 @@
 		return h, err
 	}
 	if h.Missed = missed; missed == nil {
-		h.Sockets, h.Missed = receiveSockets(sockets)
+		h.Moves, h.Sockets, h.Missed = receive(sockets)
 	}
 	return h, nil
 }
@@ -251,20 +252,22 @@
 	}()
 }
 
-// Answer hands a state and listening sockets over to the successor that asked for them. A state without sockets is of use,
-// too: an error that wraps ErrNoSockets says that just these did not go over.
-type Answer func(state []byte, sockets []Socket) error
+// Answer hands a state and listening sockets over to the successor that asked for them, and returns a link by which clients'
+// connections can follow. A state without sockets is of use, too: an error that wraps ErrNoSockets says that just these did
+// not go over.
+type Answer func(state []byte, sockets []Socket) (*Link, error)
 
 // answerTo answers the successor with a token.
 func (p *Process) answerTo(token string) Answer {
-	return func(state []byte, sockets []Socket) error {
+	return func(state []byte, sockets []Socket) (*Link, error) {
 		if err := p.write(statePrefix+token, state); err != nil {
-			return err
+			return nil, err
 		}
-		if err := p.sendSockets(token, sockets); err != nil {
-			return fmt.Errorf("%w: %w", ErrNoSockets, err)
+		link, err := p.dialLink(token, sockets)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrNoSockets, err)
 		}
-		return nil
+		return link, nil
 	}
 }
 
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -49,9 +49,20 @@
 	}
 	addr := listener.Addr().String()
 	first.Watch(func(answer Answer) {
-		if err := answer([]byte("all that is known"), []Socket{{addr, raw}, {"again", raw}}); err != nil {
+		link, err := answer([]byte("all that is known"), []Socket{{addr, raw}, {"again", raw}})
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		pieces := []Piece{{Data: []byte("half"), Age: time.Second}, {Data: []byte("rest")}}
+		_ = raw.Control(func(fd uintptr) { err = link.Move("where", pieces, int(fd)) })
+		if err != nil {
 			t.Error(err)
 		}
+		if err := link.Move("too long", []Piece{{Data: make([]byte, packetMost)}}, 0); err == nil {
+			t.Error("a packet that is too long goes over")
+		}
+		link.Close()
 	}, func() {})
 	second := join(t, dir)
 	if !second.Successor() || second.Succeeded() || !first.Succeeded() {
@@ -66,6 +77,15 @@
 	if err != nil || string(handed.State) != "all that is known" || handed.Missed != nil || len(handed.Sockets) != 2 {
 		t.Fatalf("%+v, %v", handed, err)
 	}
+	moved, err := handed.Moves.Next()
+	if err != nil || moved.Addr != "where" || len(moved.Pieces) != 2 || string(moved.Pieces[0].Data) != "half" ||
+		moved.Pieces[0].Age != time.Second || string(moved.Pieces[1].Data) != "rest" {
+		t.Errorf("%+v, %v", moved, err)
+	}
+	moved.File.Close()
+	if _, err := handed.Moves.Next(); err == nil {
+		t.Error("the link has no end")
+	}
 	// What waits to be accepted is not reset with the former process's socket.
 	listener.Close()
 	over, err := net.FileListener(handed.Sockets[addr])
@@ -147,11 +167,11 @@
 	second.Close()
 	await(t, "the successor has ended", gone)
 	third := join(t, dir)
-	if err := late([]byte("late"), nil); !errors.Is(err, ErrNoSockets) {
+	if _, err := late([]byte("late"), nil); !errors.Is(err, ErrNoSockets) {
 		t.Error(err)
 	}
 	go func() {
-		if err := (<-asked)([]byte("fresh"), nil); err != nil {
+		if _, err := (<-asked)([]byte("fresh"), nil); err != nil {
 			t.Error(err)
 		}
 	}()
--- a/internal/handover/sockets.go
+++ b/internal/handover/sockets.go
@@ -14,9 +14,11 @@
 )
 
 const (
-	socketsMost   = 64                     // that go over
-	namesMost     = 8 << 10                // bytes of their names
+	socketsMost   = 64                     // that go over in one packet
+	packetMost    = 192 << 10              // bytes of a packet beside its sockets
 	socketsWithin = 500 * time.Millisecond // of the state
+	sendWithin    = 20 * time.Millisecond  // for a successor that does not read: whoever sends may have more to do
+	network       = "unixpacket"           // keeps packets apart
 )
 
 // Socket is a listening socket that goes over to a successor. What waits in its queue goes over with it.
@@ -25,37 +27,76 @@
 	Conn syscall.RawConn
 }
 
-// errSockets says that what has come is not what sendSockets sends.
-var errSockets = errors.New("the sockets that were handed over cannot be read")
+// Piece is something that has come on a connection, and that the former process has not dealt with.
+type Piece struct {
+	Data []byte
+	Age  time.Duration // since it came
+}
+
+// Moved is a client's connection that has gone over.
+type Moved struct {
+	Addr   string // of the socket that accepted it
+	Pieces []Piece
+	File   *os.File
+}
+
+// packet is what goes over beside sockets: the address of each, and for a connection the pieces that have come on it.
+type packet struct {
+	Addrs  []string
+	Pieces []Piece `json:",omitempty"`
+}
+
+// errPacket says that what has come is not what a Link sends.
+var errPacket = errors.New("sockets that were handed over cannot be read")
+
+// Link gives sockets to a successor. It is safe for use from one goroutine at a time.
+type Link struct{ conn *net.UnixConn }
 
 // socketPath is where a successor waits for sockets.
 func (p *Process) socketPath(token string) string { return filepath.Join(p.dir, socketPrefix+token) }
 
-// sendSockets gives sockets to the successor that waits for them.
-func (p *Process) sendSockets(token string, sockets []Socket) error {
-	if len(sockets) > socketsMost {
-		return fmt.Errorf("handing over %d sockets: %d at most", len(sockets), socketsMost)
-	}
-	conn, err := net.Dial("unix", p.socketPath(token))
+// dialLink connects to the successor with a token, and gives it listening sockets.
+func (p *Process) dialLink(token string, sockets []Socket) (*Link, error) {
+	conn, err := net.DialUnix(network, nil, &net.UnixAddr{Name: p.socketPath(token), Net: network})
 	if err != nil {
-		return fmt.Errorf("handing sockets over: %w", err)
+		return nil, fmt.Errorf("handing sockets over: %w", err)
 	}
-	defer conn.Close()
-	var names []string
+	l := &Link{conn}
+	var listening packet
 	for _, s := range sockets {
-		names = append(names, s.Addr)
+		listening.Addrs = append(listening.Addrs, s.Addr)
 	}
-	data, err := json.Marshal(names)
+	send := func(descriptors []int) error { return l.send(listening, descriptors) }
+	if err := withDescriptors(sockets, nil, send); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// Move gives a client's connection to the successor, which reads on behind the pieces. The descriptor stays the caller's.
+func (l *Link) Move(addr string, pieces []Piece, descriptor int) error {
+	return l.send(packet{Addrs: []string{addr}, Pieces: pieces}, []int{descriptor})
+}
+
+func (l *Link) send(p packet, descriptors []int) error {
+	data, err := json.Marshal(p)
 	if err != nil {
-		return err
+		return fmt.Errorf("handing sockets over: %w", err)
 	}
-	send := func(rights []int) error {
-		_, _, err := conn.(*net.UnixConn).WriteMsgUnix(data, unix.UnixRights(rights...), nil)
-		return err
+	if len(data) > packetMost || len(descriptors) > socketsMost {
+		return fmt.Errorf("handing over %d sockets and %d bytes: too many", len(descriptors), len(data))
+	}
+	_ = l.conn.SetWriteDeadline(time.Now().Add(sendWithin))
+	if _, _, err := l.conn.WriteMsgUnix(data, unix.UnixRights(descriptors...), nil); err != nil {
+		return fmt.Errorf("handing sockets over: %w", err)
 	}
-	return withDescriptors(sockets, nil, send)
+	return nil
 }
 
+// Close ends the link. What was sent stays the successor's.
+func (l *Link) Close() { _ = l.conn.Close() }
+
 // withDescriptors calls f with the descriptors of sockets, which stay open meanwhile.
 func withDescriptors(sockets []Socket, open []int, f func([]int) error) error {
 	if len(sockets) == 0 {
@@ -68,47 +109,78 @@
 	return errors.Join(err, failed)
 }
 
-// receiveSockets waits for sockets and returns them by their addresses.
-func receiveSockets(l *net.UnixListener) (map[string]*os.File, error) {
+// Receiver takes sockets from the process that serves.
+type Receiver struct {
+	conn *net.UnixConn
+	data []byte
+}
+
+// receive waits for the process that serves, and returns its listening sockets by their addresses.
+func receive(l *net.UnixListener) (*Receiver, map[string]*os.File, error) {
 	_ = l.SetDeadline(time.Now().Add(socketsWithin))
 	conn, err := l.AcceptUnix()
 	if err != nil {
-		return nil, fmt.Errorf("waiting for sockets: %w", err)
+		return nil, nil, fmt.Errorf("waiting for sockets: %w", err)
 	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(socketsWithin))
-	data, control := make([]byte, namesMost), make([]byte, unix.CmsgSpace(4*socketsMost))
-	n, controls, _, _, err := conn.ReadMsgUnix(data, control)
+	r := &Receiver{conn: conn, data: make([]byte, packetMost)}
+	_ = conn.SetReadDeadline(time.Now().Add(socketsWithin))
+	listening, files, err := r.next()
 	if err != nil {
-		return nil, fmt.Errorf("receiving sockets: %w", err)
+		r.Close()
+		return nil, nil, err
 	}
-	files, err := readRights(control[:controls])
+	_ = conn.SetReadDeadline(time.Time{})
+	byAddr := map[string]*os.File{}
+	for i, f := range files {
+		byAddr[listening.Addrs[i]] = f
+	}
+	return r, byAddr, nil
+}
+
+// Next waits for the next connection that goes over. It fails once the other process has ended.
+func (r *Receiver) Next() (Moved, error) {
+	p, files, err := r.next()
 	if err != nil {
-		return nil, err
+		return Moved{}, err
 	}
-	var names []string
-	if err := json.Unmarshal(data[:n], &names); err != nil || len(names) != len(files) {
+	if len(files) != 1 {
 		closeAll(files)
-		return nil, errSockets
+		return Moved{}, errPacket
 	}
-	byAddr := map[string]*os.File{}
-	for i, f := range files {
-		byAddr[names[i]] = f
+	return Moved{Addr: p.Addrs[0], Pieces: p.Pieces, File: files[0]}, nil
+}
+
+// next reads one packet: as many sockets as addresses.
+func (r *Receiver) next() (p packet, files []*os.File, err error) {
+	control := make([]byte, unix.CmsgSpace(4*socketsMost))
+	n, controls, _, _, err := r.conn.ReadMsgUnix(r.data, control)
+	if err != nil {
+		return p, nil, fmt.Errorf("receiving sockets: %w", err)
 	}
-	return byAddr, nil
+	if files, err = readRights(control[:controls]); err != nil {
+		return p, nil, err
+	}
+	if err := json.Unmarshal(r.data[:n], &p); err != nil || len(p.Addrs) != len(files) {
+		closeAll(files)
+		return p, nil, errPacket
+	}
+	return p, files, nil
 }
 
+// Close ends the receiving.
+func (r *Receiver) Close() { _ = r.conn.Close() }
+
 // readRights takes the descriptors out of a control message.
 func readRights(control []byte) (files []*os.File, err error) {
 	messages, err := unix.ParseSocketControlMessage(control)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", errSockets, err)
+		return nil, fmt.Errorf("%w: %w", errPacket, err)
 	}
 	for _, m := range messages {
 		rights, err := unix.ParseUnixRights(&m)
 		if err != nil {
 			closeAll(files)
-			return nil, fmt.Errorf("%w: %w", errSockets, err)
+			return nil, fmt.Errorf("%w: %w", errPacket, err)
 		}
 		for _, fd := range rights {
 			unix.CloseOnExec(fd)
--- a/internal/net/msgpackrpc/front.go
+++ b/internal/net/msgpackrpc/front.go
@@ -41,7 +41,8 @@
 	log     logrus.FieldLogger
 	conns   map[*conn]bool
 	tracker *transport.ConnTracker
-	shut    bool // Shut was called
+	shut    bool        // Shut was called
+	holding atomic.Bool // Hold was called
 
 	classes atomic.Pointer[map[string]string] // names, so that each is held once
 
@@ -124,7 +125,7 @@
 // conn is one client's connection.
 type conn struct {
 	front *Front
-	buf   []byte // poller: bytes of a message that has not come whole
+	buf   []byte // poller: bytes of a message that has not come whole; what is held comes behind them
 
 	tc      *transport.Conn // loop: the rest
 	client  *gateway.Client
@@ -136,6 +137,10 @@
 	asked   atomic.Int64 // requests that were shed, and the loop has not counted
 
 	cancels cancels // that were read, and that the loop has not taken in
+
+	held    []transport.Piece // poller: what came since Hold
+	scanned int               // poller: bytes of buf in which cancels have been looked for
+	moved   bool              // it has gone over to another process
 }
 
 // cancels are message ids, counted. The zero value has none.
@@ -214,6 +219,9 @@
 // OnBytes cuts what came into messages. A message that has come whole carries the time at which it did. What is to be
 // shed is refused right here, and costs the loop nothing.
 func (c *conn) OnBytes(tc *transport.Conn, b []byte, at time.Time) error {
+	if c.front.holding.Load() {
+		return c.hold(tc, b, at)
+	}
 	if len(c.buf) > 0 {
 		c.buf = append(c.buf, b...)
 		b = c.buf
--- a/internal/net/transport/listener.go
+++ b/internal/net/transport/listener.go
@@ -125,6 +125,26 @@
 			return
 		}
 	}
+	l.serve(conn, nil)
+}
+
+// Piece is something that has come on a connection at a time.
+type Piece struct {
+	Data []byte
+	At   time.Time
+}
+
+// Adopt serves a connection of a former process as if it had been accepted here. The pieces have come on it before. It takes a
+// slot even if there is none.
+func (l *Listener) Adopt(conn net.Conn, pieces []Piece) {
+	if !l.slots.take(0) {
+		l.slots.takeAnyway()
+	}
+	l.serve(conn, pieces)
+}
+
+// serve has a connection, which has its slot, read and answered.
+func (l *Listener) serve(conn net.Conn, pieces []Piece) {
 	boundUnsent(conn)
 	nc, err := nbio.NBConn(conn)
 	if err != nil {
@@ -138,7 +158,15 @@
 	if o, ok := h.(Opener); ok {
 		o.OnOpened(c)
 	}
+	c.stopped.Store(len(pieces) > 0) // nothing is read before these
 	l.engine.add(c)
+	for _, p := range pieces {
+		if err := h.OnBytes(c, p.Data, p.At); err != nil {
+			c.End(err, lingerLeast)
+			break
+		}
+	}
+	c.stopped.Store(false)
 	if s, ok := h.(Speaker); ok {
 		s.OnReady(c)
 	}
@@ -246,6 +274,13 @@
 	return true
 }
 
+// takeAnyway takes a slot beyond the most, if need be.
+func (s *slots) takeAnyway() {
+	s.mu.Lock()
+	s.used++
+	s.mu.Unlock()
+}
+
 // free gives a slot back.
 func (s *slots) free() {
 	s.mu.Lock()
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -63,8 +63,9 @@
 	lingering atomic.Int64 // connections that have ended and are not closed
 	echo      echo
 	inherited map[string]*os.File // listening sockets of a former process, by address
-	buffer    []byte              // the poller's, for reading
-	handing   sync.Mutex          // held while a connection is made, and taken before its parts are read
+	poller    pollerDescriptor
+	buffer    []byte     // the poller's, for reading
+	handing   sync.Mutex // held while a connection is made, and taken before its parts are read
 
 	Opened, Closed atomic.Uint64
 	Crowded        atomic.Uint64 // connections closed because there was no place
@@ -139,7 +140,7 @@
 	}
 	c.reading.Store(true)
 	defer c.reading.Store(false)
-	for i := 0; i < readsMost || c.Left(); i++ {
+	for i := 0; (i < readsMost || c.Left()) && !c.stopped.Load(); i++ {
 		n, err := nc.Read(e.buffer)
 		if n > 0 {
 			e.In.Add(uint64(n))
@@ -180,6 +181,7 @@
 	ended   atomic.Bool // by this side: nothing more is taken in or written
 	gone    atomic.Bool // it is closed
 	reading atomic.Bool // what has come is being taken in
+	stopped atomic.Bool // nothing more is (see StopReading)
 	closed  sync.Once   // OnClosed has been called
 	thrown  int         // poller: bytes that came after that
 	left    func()      // to be called once it holds no descriptor any more; nil: nobody waits for that
