--- a/cmd/larchusher/upgrade.go
+++ b/cmd/larchusher/upgrade.go
@@ -186,18 +186,25 @@
 
 // useShares has this process use a part of the descriptors and the memory that the program may use.
 func (p *program) useShares(part float64) {
-	scaled := func(n int) int { return max(1, int(part*float64(n))) }
-	share := p.shares()
 	p.setMemory(part)
-	p.pool.SetConns(scaled(share.Stores))
-	p.front.SetMost(scaled(share.Clients))
-	p.clients.SetMost(scaled(share.Clients))
+	p.pool.SetConns(scaled(p.shares().Stores, part))
+	p.useClientShares(part)
+}
+
+// useClientShares has this process use a part of the descriptors that clients may have.
+func (p *program) useClientShares(part float64) {
+	share := p.shares()
+	p.front.SetMost(scaled(share.Clients, part))
+	p.clients.SetMost(scaled(share.Clients, part))
 	if p.signed != nil {
-		p.signed.SetMost(scaled(share.Signed))
-		p.signedAt.SetMost(scaled(share.Signed))
+		p.signed.SetMost(scaled(share.Signed, part))
+		p.signedAt.SetMost(scaled(share.Signed, part))
 	}
 }
 
+// scaled is a part of a number of descriptors, and one at least.
+func scaled(n int, part float64) int { return max(1, int(part*float64(n))) }
+
 func (p *program) setMemory(part float64) {
 	debug.SetMemoryLimit(int64(part * memoryPart * float64(p.cfg.Limits.MemoryMB<<20)))
 }
@@ -218,12 +225,15 @@
 
 // adopt serves clients' connections that the former process hands over, until it has ended.
 func (p *program) adopt() {
-	for {
+	for first := true; ; first = false {
 		moved, err := p.moves.Next()
 		if err != nil {
 			p.moves.Close()
 			return
 		}
+		if first { // the former process accepts no more
+			p.loop.Post(func() { p.useClientShares(1) })
+		}
 		conn, err := net.FileConn(moved.File)
 		_ = moved.File.Close()
 		if err != nil {
