--- a/cmd/larchusher/wiring.go
+++ b/cmd/larchusher/wiring.go
@@ -62,8 +62,11 @@
 	if p.closeRest != nil {
 		p.closeRest()
 	}
+	if p.moves != nil {
+		go p.adopt()
+	}
 	p.log.WithField("listen", p.clients.Addr().String()).Info("serving")
-	p.loop.Post(func() { p.serving = true })
+	p.loop.Post(p.serve)
 	return nil
 }
 
@@ -149,7 +152,7 @@
 func (p *program) listen() error {
 	most := p.shares().Clients
 	p.front = msgpackrpc.New(p.loop, p.gw, classNames(p.cfg.Settings.Classes), most, p.log)
-	l, err := p.engine.Listen(p.cfg.Listen, most, p.front.MakeRoom, p.front.Accept)
+	l, err := p.engine.Listen(p.cfg.Listen, most, p.front.EvictIdle, p.front.Accept)
 	if err != nil {
 		return err
 	}
@@ -211,7 +214,7 @@
 		}
 		p.signed = signedfront.New(p.loop, p.gw, api, share.Signed, p.cfg.Seed, p.log)
 		err = listen(s.Listen, "serving signed URLs", func(a string) (l *transport.Listener, err error) {
-			l, err = p.engine.Listen(a, share.Signed, p.signed.MakeRoom, p.signed.Accept)
+			l, err = p.engine.Listen(a, share.Signed, p.signed.EvictIdle, p.signed.Accept)
 			p.signedAt = l
 			return l, err
 		})
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -22,11 +22,12 @@
 )
 
 const (
-	activeLock   = "active.lock" // held by the process that serves
-	nextLock     = "next.lock"   // held by its successor while both run
-	requestFile  = "request"     // the successor's: it holds a token
-	statePrefix  = "state-"      // followed by the token: the answer
-	socketPrefix = "sockets-"    // likewise: a Unix socket of the successor's, which takes listening sockets
+	activeLock   = "active.lock"  // held by the process that serves
+	nextLock     = "next.lock"    // held by its successor while both run
+	servingLock  = "serving.lock" // held by the successor once it takes clients, while both run
+	requestFile  = "request"      // the successor's: it holds a token
+	statePrefix  = "state-"       // followed by the token: the answer
+	socketPrefix = "s-"           // likewise: a Unix socket of the successor\'s, which takes sockets. Short: a path has 107 bytes at most
 	partial      = ".tmp"
 	folderMode   = 0o700
 	fileMode     = 0o600
@@ -47,9 +48,10 @@
 
 // Process is this process's place in a handover.
 type Process struct {
-	dir    string
-	active *os.File // holds activeLock, or waits for it
-	next   *os.File // holds nextLock; nil: this process was alone at its start
+	dir     string
+	active  *os.File // holds activeLock, or waits for it
+	next    *os.File // holds nextLock; nil: this process was alone at its start
+	serving *os.File // holds servingLock; nil: it does not
 
 	mu     sync.Mutex
 	alone  bool
@@ -85,9 +87,9 @@
 		p.next = next
 		return p, nil
 	}
-	_ = next.Close()
 	p.alone = true
 	p.sweep()
+	_ = next.Close() // last: a successor may ask from now on
 	return p, nil
 }
 
@@ -142,6 +144,7 @@
 type Handed struct {
 	State   []byte
 	Sockets map[string]*os.File // by their addresses
+	Moves   *Receiver           // of clients' connections, later; nil: none will come
 	Missed  error               // why there are no sockets; nil: there are
 }
 
@@ -153,7 +156,7 @@
 		return h, fmt.Errorf("the handover's token: %w", err)
 	}
 	name := hex.EncodeToString(token)
-	sockets, missed := net.ListenUnix("unix", &net.UnixAddr{Name: p.socketPath(name), Net: "unix"})
+	sockets, missed := net.ListenUnix(network, &net.UnixAddr{Name: p.socketPath(name), Net: network})
 	if missed == nil {
 		defer sockets.Close() // and removes it
 	}
@@ -164,7 +167,7 @@
 		return h, err
 	}
 	if h.Missed = missed; missed == nil {
-		h.Sockets, h.Missed = receiveSockets(sockets)
+		h.Moves, h.Sockets, h.Missed = receive(sockets)
 	}
 	return h, nil
 }
@@ -197,6 +200,38 @@
 	return nil
 }
 
+// Serve tells the process that this one takes over from that clients are served here from now on.
+func (p *Process) Serve() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.next == nil || p.alone || p.serving != nil {
+		return nil
+	}
+	f, err := open(p.dir, servingLock)
+	if err != nil {
+		return err
+	}
+	for !tryLock(f, unix.LOCK_EX) { // the other process may be looking whether it is held
+		time.Sleep(time.Millisecond)
+	}
+	p.serving = f
+	return nil
+}
+
+// StopServing takes back what Serve has told: this process is about to end.
+func (p *Process) StopServing() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopServing()
+}
+
+func (p *Process) stopServing() {
+	if p.serving != nil {
+		_ = p.serving.Close()
+		p.serving = nil
+	}
+}
+
 // AwaitAlone calls alone, on a goroutine of its own, once the process that this one takes over from has ended.
 func (p *Process) AwaitAlone(alone func()) {
 	go func() {
@@ -209,27 +244,30 @@
 		}
 		p.mu.Lock()
 		p.alone = true
-		_ = p.next.Close() // the next one may come
-		p.mu.Unlock()
+		p.stopServing()
 		p.sweep()
+		_ = p.next.Close() // last: the next one may ask from now on
+		p.mu.Unlock()
 		alone()
 	}()
 }
 
-// Answer hands a state and listening sockets over to the successor that asked for them. A state without sockets is of use,
-// too: an error that wraps ErrNoSockets says that just these did not go over.
-type Answer func(state []byte, sockets []Socket) error
+// Answer hands a state and listening sockets over to the successor that asked for them, and returns a link by which clients'
+// connections can follow. A state without sockets is of use, too: an error that wraps ErrNoSockets says that just these did
+// not go over.
+type Answer func(state []byte, sockets []Socket) (*Link, error)
 
 // answerTo answers the successor with a token.
 func (p *Process) answerTo(token string) Answer {
-	return func(state []byte, sockets []Socket) error {
+	return func(state []byte, sockets []Socket) (*Link, error) {
 		if err := p.write(statePrefix+token, state); err != nil {
-			return err
+			return nil, err
 		}
-		if err := p.sendSockets(token, sockets); err != nil {
-			return fmt.Errorf("%w: %w", ErrNoSockets, err)
+		link, err := p.dialLink(token, sockets)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrNoSockets, err)
 		}
-		return nil
+		return link, nil
 	}
 }
 
@@ -281,11 +319,14 @@
 }
 
 // Succeeded says whether a successor of this process runs.
-func (p *Process) Succeeded() bool {
-	if !p.serves() {
-		return false
-	}
-	probe, err := open(p.dir, nextLock)
+func (p *Process) Succeeded() bool { return p.serves() && p.held(nextLock) }
+
+// TakenOver says whether a successor of this process runs and takes clients.
+func (p *Process) TakenOver() bool { return p.Succeeded() && p.held(servingLock) }
+
+// held says whether another process holds a lock.
+func (p *Process) held(name string) bool {
+	probe, err := open(p.dir, name)
 	if err != nil {
 		return false
 	}
@@ -300,6 +341,7 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		_ = p.active.Close()
+		p.stopServing()
 		if p.next != nil {
 			_ = p.next.Close()
 		}
