--- a/cmd/larchusher/upgrade.go
+++ b/cmd/larchusher/upgrade.go
@@ -148,42 +148,6 @@
 	}
 }
 
-// handState hands this process's state to its successor. From this moment on the successor has the budget for cold stores.
-func (p *program) handState(answer handover.Answer) {
-	p.log.Info("upgrade: handing over to a new process")
-	p.gw.PauseCold(-1)
-	p.useShares(overlapShare)
-	state := handedState{Format: stateFormat, Since: p.since, Known: p.book.List(p.feed.Position()),
-		Learned: &knowledge.Snapshot{Made: p.gw.Clock(p.loop.Now()), Gateway: p.cfg.Name, Settings: p.cfg.Fingerprint(),
-			Position: p.feed.Position(), Directors: p.gw.Learned(listingsMost)}}
-	sockets := p.sockets()
-	go func() { // the loop waits for no file
-		data, err := json.Marshal(state)
-		if err != nil { // of a figure that JSON has no form for: the list is what matters
-			state.Learned = nil
-			data, err = json.Marshal(state)
-		}
-		var link *handover.Link
-		if err == nil {
-			link, err = answer(data, sockets)
-		}
-		if err != nil {
-			p.log.WithError(err).Error("upgrade: not all is handed over")
-		}
-		p.loop.Post(func() { p.successor = link })
-	}()
-}
-
-// sockets are the listening sockets that go over to a successor.
-func (p *program) sockets() (all []handover.Socket) {
-	for _, l := range p.accept {
-		if raw, err := l.RawConn(); err == nil {
-			all = append(all, handover.Socket{Addr: l.Addr().String(), Conn: raw})
-		}
-	}
-	return all
-}
-
 // useShares has this process use a part of the descriptors and the memory that the program may use.
 func (p *program) useShares(part float64) {
 	p.setMemory(part)
@@ -209,9 +173,6 @@
 	debug.SetMemoryLimit(int64(part * memoryPart * float64(p.cfg.Limits.MemoryMB<<20)))
 }
 
-// takenOver says whether a new process takes clients in place of this one.
-func (p *program) takenOver() bool { return p.process != nil && p.process.TakenOver() }
-
 // serve notes that clients are taken from now on.
 func (p *program) serve() {
 	p.serving = true
@@ -254,54 +215,3 @@
 		p.accept[at].Adopt(conn, pieces)
 	}
 }
-
-// move hands a client's connection to the successor.
-func (p *program) move(conn *transport.Conn, pieces []transport.Piece) error {
-	now := time.Now()
-	var over []handover.Piece
-	for _, piece := range pieces {
-		over = append(over, handover.Piece{Data: piece.Data, Age: now.Sub(piece.At)})
-	}
-	addr := p.clients.Addr().String()
-	return conn.Detach(func(descriptor int) error { return p.successor.Move(addr, over, descriptor) })
-}
-
-// yield leaves clients to the successor: nothing new is accepted, and each connection goes over as soon as nothing is open on it.
-// Where connections can't go over they end in that moment.
-func (p *program) yield() {
-	p.log.Info("upgrade: leaving clients to the new process")
-	if p.successor != nil {
-		p.front.Hold()
-	}
-	for _, l := range p.accept {
-		l.Yield()
-	}
-	if p.link != nil {
-		p.link.Close()
-	}
-	if p.signed != nil {
-		p.signed.End()
-	}
-	began := p.loop.Now()
-	p.leaveIdle(began.Add(queueWithin), began.Add(p.answerWithin()))
-}
-
-// leaveIdle lets connections go on which nothing is open, until none is left, or at the last moment with an answer to what is
-// open. It goes on for a while in any case: what the kernel had accepted may still be on its way.
-func (p *program) leaveIdle(least, last time.Time) {
-	now := p.loop.Now()
-	if !now.Before(last) {
-		p.gw.Close()
-	}
-	var left int
-	if p.successor != nil {
-		left = p.front.MoveIdle(p.move)
-	} else {
-		left = p.front.EndIdle()
-	}
-	if now.Before(least) || now.Before(last) && (left > 0 || p.gw.Open() > 0) {
-		p.loop.After(leaveTick, func() { p.leaveIdle(least, last) })
-		return
-	}
-	p.finish(last)
-}
