What is held for a new process is refused there after 150 ms: a test, known to be red

Seen in the new test: 'in time: {id:4 err:Backoff fields:map[later:394]}' for a request of 5 s that was held for 0.35 s. Checked: it reached the new process (its answer came on the moved connection, no attempt at any store). At fault: word() takes the time at which a request came for the beginning of its wait for a turn, too; the queue refuses what has waited for over 150 ms (Queue.Expired).

--- a/test/upgrade_test.go
+++ b/test/upgrade_test.go
@@ -259,6 +259,52 @@
 	}
 }
 
+// While a connection waits to go over, a cancel on it is heeded at once, a request behind it is not begun by the former process, and
+// its deadline counts from when it came: of one that waited for too long the new process makes no attempt.
+func TestWhatComesWhileAConnectionWaitsToGoOver(t *testing.T) {
+	r := newRig(t).shared().start()
+	held := make(chan *ask, 10)
+	r.on(func(a *ask) { held <- a })
+	c := r.client()
+	first := c.send("films", object, 5*time.Second, "")
+	cancelled := next(t, held)
+	c.send("films", "00000000000000bb", 5*time.Second, "")
+	open := next(t, held)
+	second, console := r.beside()
+	r.signal(syscall.SIGTERM)
+	r.logged("leaving clients to the new process")
+	c.raw(append([]byte{0x93, 2}, append(packText("cancelRequest"), 0x91, byte(first))...))
+	eventually(t, "the store is told", func() bool {
+		return r.sum(func(s *store) int { return len(s.Quits) }) == 1
+	})
+	if quits := cancelled.Store.Quits; len(quits) != 1 || quits[0] != cancelled.ID {
+		t.Errorf("the store was told of %q", quits)
+	}
+	const patient = 300 * time.Millisecond
+	hasty := c.send("images", "00000000000000cc", patient, "")
+	c.send("images", "00000000000000dd", 5*time.Second, "")
+	time.Sleep(patient + 50*time.Millisecond) // the hasty one's time passes while it waits
+	if n := len(r.asks("00000000000000dd")); n != 0 {
+		t.Errorf("the former process has begun %d attempts", n)
+	}
+	r.on(done)
+	done(open)
+	got := map[int]answer{}
+	for range 3 {
+		a := c.next()
+		got[a.id] = a
+	}
+	if a := got[hasty]; a.err != "Backoff" || len(r.asks("00000000000000cc")) != 0 {
+		t.Errorf("too late: %+v after %d attempts", a, len(r.asks("00000000000000cc")))
+	}
+	if a := got[hasty+1]; a.err != "" {
+		t.Errorf("in time: %+v", a)
+	}
+	if n := second.figures(console)["success.images"]; n != 1 {
+		t.Errorf("the new process has answered %d", n)
+	}
+}
+
 // While two processes run neither overdraws what a cold store may be sent: nothing goes there for a whole window from the moment
 // at which the state goes over, and then it has its part.
 func TestColdStoresHaveOneBudgetOverAnUpgrade(t *testing.T) {
