A request's wait for its turn begins in the process that takes it; its deadline where it came

Request.Arrived is the time at which the request is read here; the deadline goes on counting from when it came to the gateway, in whichever process.

--- a/gateway/types.go
+++ b/gateway/types.go
@@ -30,7 +30,7 @@
 	Answer   func(Answer)
 	There    func() bool // whether the client still waits, asked right before each attempt is written; nil: until it is abandoned
 
-	Arrived  time.Time // when its last byte came; zero: as it is submitted
+	Arrived  time.Time // when its wait for a turn began; zero: as it is submitted
 	Front    Front
 	Admitted bool    // the door has let it in
 	Client   *Client // whose answers it adds to; nil: they take no memory for long
--- a/internal/net/msgpackrpc/front.go
+++ b/internal/net/msgpackrpc/front.go
@@ -382,8 +382,9 @@
 		s, all = all[:len(b)], all[len(b):]
 		return s
 	}
+	// Its wait for a turn begins now; at may be long ago, of a connection that another process has held.
 	r := &gateway.Request{Class: class, Ref: cut(f.txn), Object: cut(f.item), Key: cut(f.unique), Have: cut(f.mine),
-		Retry: string(f.second) == "1", Body: bytes.Clone(m.body), Arrived: at, Front: gateway.Platform, Admitted: true}
+		Retry: string(f.second) == "1", Body: bytes.Clone(m.body), Arrived: time.Now(), Front: gateway.Platform, Admitted: true}
 	// Guards the other requests of a store's connection: the store closes it on what it cannot read.
 	var err error
 	number := func(name string, s []byte, needed bool, most uint64) (n uint64) {
