--- a/cmd/larchusher/leave.go
+++ b/cmd/larchusher/leave.go
@@ -66,9 +66,6 @@
 // Where connections can't go over they end in that moment.
 func (p *program) yield() {
 	p.log.Info("upgrade: leaving clients to the new process")
-	if p.successor != nil {
-		p.front.Hold()
-	}
 	for _, l := range p.accept {
 		l.Yield()
 	}
@@ -90,7 +87,8 @@
 		p.gw.Close()
 	}
 	var left int
-	if p.successor != nil {
+	if p.successor != nil { // the link may have come up a moment ago
+		p.front.Hold()
 		left = p.front.MoveIdle(p.move)
 	} else {
 		left = p.front.EndIdle()
