--- a/test/console_test.go
+++ b/test/console_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -111,6 +114,52 @@
 	}
 }
 
+// A hundred calls at once are answered, each within its second; a line that does not end, and one of another kind, end or fail.
+func TestAHundredCallsAtOnce(t *testing.T) {
+	r := newRig(t)
+	console := r.withConsole()
+	r.start()
+	long, err := net.Dial("tcp", console)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer long.Close()
+	if _, err := long.Write([]byte(strings.Repeat("READY ", 100))); err != nil {
+		t.Fatal(err)
+	}
+	_ = long.SetReadDeadline(time.Now().Add(patience))
+	if n, _ := long.Read(make([]byte, 1)); n != 0 {
+		t.Error("a line that does not end is answered")
+	}
+	failed := make(chan string, 100)
+	var all sync.WaitGroup
+	for range 100 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			conn, err := net.DialTimeout("tcp", console, callWithin)
+			if err != nil {
+				failed <- err.Error()
+				return
+			}
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(callWithin))
+			if _, err := conn.Write([]byte("STATS\n")); err != nil {
+				failed <- err.Error()
+				return
+			}
+			if reply, err := io.ReadAll(conn); err != nil || !strings.HasSuffix(string(reply), "eof\n") {
+				failed <- fmt.Sprintf("%q, %v", reply, err)
+			}
+		}()
+	}
+	all.Wait()
+	close(failed)
+	for f := range failed {
+		t.Error(f)
+	}
+}
+
 // Callers that complete no call take no slot from one that does.
 func TestSilentCallersAreInNobodysWay(t *testing.T) {
 	r := newRig(t)
--- a/test/upgrade_test.go
+++ b/test/upgrade_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -96,7 +97,10 @@
 	second.logged("the former process has ended")
 }
 
-// Clients that never stop asking, on connections that they keep and on new ones, lose nothing over five upgrades. A request
+// upgrades is how many follow each other in TestNoRequestIsLostOverUpgrades, unless the environment says UPGRADES=N.
+const upgrades = 5
+
+// Clients that never stop asking, on connections that they keep and on new ones, lose nothing over some upgrades. A request
 // that crosses the end of its connection is sent anew, as the protocol has it.
 func TestNoRequestIsLostOverUpgrades(t *testing.T) {
 	r := newRig(t).shared().start()
@@ -111,7 +115,11 @@
 			}
 		}()
 	}
-	for range 5 {
+	rounds := upgrades
+	if n, err := strconv.Atoi(os.Getenv("UPGRADES")); err == nil {
+		rounds = n
+	}
+	for range rounds {
 		second, _ := r.beside()
 		r.signal(syscall.SIGTERM)
 		if err := r.ended(); err != nil {
