--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -198,6 +198,7 @@
 		return
 	}
 	g.Counters.Gone++
+	g.CountAnswer(r.Class, Answer{Outcome: Failed})
 	g.finish(r)
 	g.unreserve(r, -1)
 	g.handle(event{where: r.where, Event: control.Gone{ID: r.id}})
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -2,7 +2,8 @@
 
 import "larchusher/overload"
 
-// Outcomes counts the final answers to requests of one class, as their clients see them.
+// Outcomes counts the final answers to requests of one class, as their clients see them. With those that are open they add up
+// to what was taken: a request whose client left first counts as failed.
 type Outcomes struct {
 	Served  uint64
 	Refused uint64 // trying again is harmless
--- /dev/null
+++ b/gateway/outcomes_test.go
@@ -0,0 +1,61 @@
+package gateway_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"larchusher/control"
+	"larchusher/gateway"
+	"larchusher/overload"
+)
+
+// What was answered, by class, and what is open add up to what was taken at every moment: whatever crosses what, answers of
+// stores, clients that leave, deadlines, new classes and the end of the program.
+func TestOutcomesAddUpToWhatWasTaken(t *testing.T) {
+	for seed := range uint64(20) {
+		h, rng := newHost(t, overload.Config{}), rand.New(rand.NewPCG(seed, 1))
+		var open []*gateway.Request
+		var out []*gateway.Attempt
+		check := func(step int) {
+			t.Helper()
+			sum := uint64(h.g.Open())
+			for _, o := range h.g.Outcomes() {
+				sum += o.Served + o.Refused + o.Failed
+			}
+			if sum != h.g.Counters.Taken {
+				t.Fatalf("seed %d, step %d: %d are told, %d were taken", seed, step, sum, h.g.Counters.Taken)
+			}
+		}
+		for step := range 400 {
+			h.on(func() {
+				switch k := rng.IntN(10); {
+				case k < 4:
+					r := &gateway.Request{Ref: fmt.Sprint(seed, step), Class: []string{"page", "order"}[rng.IntN(2)], Object: fmt.Sprint(rng.IntN(20)),
+						Deadline: time.Now().Add(time.Duration(rng.IntN(20)) * time.Millisecond), Answer: func(gateway.Answer) {}}
+					h.g.Submit(r)
+					open = append(open, r)
+				case k < 6 && len(open) > 0:
+					h.g.Abandon(open[rng.IntN(len(open))]) // it may have been answered
+				case k < 9 && len(out) > 0:
+					h.g.Ended(out[rng.IntN(len(out))], gateway.Result{Status: control.Status(rng.IntN(9))})
+				case k == 9 && rng.IntN(10) == 0:
+					classes := []control.Class{{Name: "page", Aim: time.Second, Deadline: time.Second, Worth: 1, Effect: control.Effect(rng.IntN(3))},
+						{Name: "order", Aim: time.Second, Deadline: time.Second, Worth: 3}}
+					if err := h.g.Reconfigure(classes[:1+rng.IntN(2)], 1+rng.IntN(5)); err != nil {
+						t.Error(err)
+					}
+				}
+				check(step)
+			})
+			for len(h.sent) > 0 {
+				out = append(out, <-h.sent)
+			}
+		}
+		h.on(func() {
+			h.g.Close()
+			check(-1)
+		})
+	}
+}
