A cut answer is no orderly close: what may not run twice is not sent again after one

What callers saw: a request of a class that may not run twice was received twice, where its gateway died within the answer. Cause: the decoder gives io.EOF at the end of the stream between any two items of a message, and rpc.Reader.Next handed that on. The connection took it for an orderly close, and the planner resends what crossed one. Change: Next looks for the first byte of an answer by itself. Only there is the end io.EOF; behind it, it is io.ErrUnexpectedEOF, which the connection never takes for an order. No item can be forgotten, since the mapping stands outside all that reads them.

--- a/client/rpc/rpc.go
+++ b/client/rpc/rpc.go
@@ -123,7 +123,7 @@
 }
 
 // Reader reads answers. What it can't read, and what is longer than any answer may be, is an error; the stream is of no
-// use after one.
+// use after one. The error is io.EOF only if the stream ends between two answers, and io.ErrUnexpectedEOF within one.
 type Reader struct {
 	Reuse bool // a Body holds until the next call only
 
@@ -144,7 +144,18 @@
 )
 
 // Next reads an answer.
-func (r *Reader) Next() (a Response, err error) {
+func (r *Reader) Next() (Response, error) {
+	if _, err := r.dec.PeekCode(); err != nil {
+		return Response{}, err
+	}
+	a, err := r.readResponse()
+	if errors.Is(err, io.EOF) { // the decoder gives it between any two items
+		return Response{}, fmt.Errorf("within an answer: %w", io.ErrUnexpectedEOF)
+	}
+	return a, err
+}
+
+func (r *Reader) readResponse() (a Response, err error) {
 	if a.ID, err = r.readHeader(); err != nil {
 		return a, err
 	}
--- a/client/rpc/rpc_test.go
+++ b/client/rpc/rpc_test.go
@@ -43,3 +43,30 @@
 		}
 	}
 }
+
+// An answer that is cut after any of its bytes is not an orderly end: only between two answers is the error io.EOF.
+func TestACutAnswerIsNoOrderlyEnd(t *testing.T) {
+	for name, answer := range map[string]string{
+		"body":          "\x94\x01\x07\xc0\x92\xc4\x03abc\x80",
+		"long body":     "\x94\x01\x07\xc0\x92\xc6\x00\x00\x00\x03abc\x80",
+		"fields":        "\x94\x01\xcd\x01\x07\xc0\x92\xc4\x00\x82\xa5still\xa11\xa5other\xd9\x03two",
+		"error":         "\x94\x01\x07\x92\xa7Backoff\x81\xa5later\xa4\x31\x32\x33\x34\xc0",
+		"error, no map": "\x94\x01\x07\x92\xa6Failed\x80\xc0",
+		"health check":  "\x94\x01\x07\xc0\x92\xc3\x80",
+		"long header":   "\xdc\x00\x04\x01\xce\x00\x00\x00\x07\xc0\xdc\x00\x02\xc4\x00\xde\x00\x00",
+	} {
+		for cut := 1; cut < len(answer); cut++ {
+			r := NewReader(bytes.NewReader([]byte(answer[:cut])))
+			if a, err := r.Next(); !errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
+				t.Errorf("%s, cut after %d of %d bytes: %+v, %v", name, cut, len(answer), a, err)
+			}
+		}
+		r := NewReader(bytes.NewReader([]byte(answer)))
+		if _, err := r.Next(); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		if _, err := r.Next(); !errors.Is(err, io.EOF) {
+			t.Errorf("%s, ended in order: %v", name, err)
+		}
+	}
+}
