Cluster transport: nothing is taken in behind a rejected first frame, or once it is closed

What callers saw: a process that has the installation's key, but is neither a member nor a registered tool, was rejected and still had its second message taken: a lease renewal, a vote or a replication message under a name of its choice. Cause: incoming.received set the sender's name before it checked it. The poller hands on all frames of one read, so the next one, which the loop ran before the close came through, met a name and no check. The frame reader, the tool and outgoing connections keep their first error or take nothing behind a greeting (read). Change: the name is set once it is accepted; a rejected connection and a closed transport take nothing further.

--- a/internal/net/clustertransport/incoming.go
+++ b/internal/net/clustertransport/incoming.go
@@ -16,6 +16,7 @@
 
 	conn      *transport.Conn
 	from      string // empty: no frame was received yet
+	rejected  bool   // its first frame was: nothing that comes behind it is taken
 	isTool    bool
 	lastFrame time.Time    // or when it was accepted
 	writer    *frameWriter // to a tool
@@ -62,14 +63,18 @@
 // received takes a message of an authenticated frame; challenge is that of a tool.
 func (c *incoming) received(from string, challenge []byte, m cluster.Message) {
 	t := c.transport
+	if c.rejected || t.closed { // frames that were read before the connection closed
+		return
+	}
 	c.lastFrame = t.loop.Now()
 	if c.from == "" {
-		c.from = from
 		if t.members[from] == nil && !c.registerTool(from, challenge) {
+			c.rejected = true
 			t.Counters.Rejected++
 			c.conn.Close(fmt.Errorf("%.64q is neither a member nor a tool", from))
 			return
 		}
+		c.from = from
 	}
 	t.Counters.Received++
 	t.Counters.ReceivedBytes += uint64(len(m.Value))
--- a/internal/net/clustertransport/transport_test.go
+++ b/internal/net/clustertransport/transport_test.go
@@ -271,6 +271,31 @@
 	}
 }
 
+// What was read before the transport closed, and comes to the loop behind that, is not taken in.
+func TestNothingIsReceivedOnceClosed(t *testing.T) {
+	members := freeMembers(t, "a", "b")
+	a, b := startMember(t, members, 0), startMember(t, members, 1)
+	sendUntilReceived(t, b, a, "a", 1)
+	held, closed := make(chan struct{}), make(chan struct{})
+	a.loop.Post(func() {
+		close(held)
+		time.Sleep(200 * time.Millisecond) // the frame comes meanwhile, and waits behind this
+		a.transport.Close()
+		close(closed)
+	})
+	<-held
+	for len(a.received) > 0 {
+		<-a.received // what sendUntilReceived sent more than once
+	}
+	b.loop.Post(func() { b.transport.Send("a", cluster.Message{Kind: cluster.RenewLease, ID: 2}) })
+	<-closed
+	select {
+	case m := <-a.received:
+		t.Errorf("message %d was received", m.ID)
+	case <-time.After(200 * time.Millisecond):
+	}
+}
+
 // freeMembers are members with addresses that nobody listens on.
 func freeMembers(t *testing.T, names ...string) (members []Member) {
 	t.Helper()
