No failed accept ends a listener: the daemon was deaf for good after one

What callers saw: after a single accept that failed with ENOBUFS, ENOMEM, EPROTO, EPERM or a pending error of the network no connection was ever answered again; nothing was logged, and the health check, on a listener of its own, still said ready. Cause: Listener.run returned on any error but EMFILE, ENFILE and ECONNABORTED. It knew a list of errors that pass, where only the listener's own closing is final. acceptQueued, by which a listener yields at an upgrade, gave up the rest of its queue likewise, and the kernel reset those connections; a successor that waits for sockets gave up on the first failure. Change: accept.go holds the accept loop. Only a close or a yield ends it; any other error is counted by errno (accept_failed), logged as `accept failed` at most once a second, and followed by a backoff of 1 to 20 ms. The queue of a yielding listener is emptied up to EAGAIN or 25 failures in a row (0.5 s). All listeners (both fronts, agent check, health, metrics, admin, cluster transport) are made by Engine.Listen and so go the same way; hot restart's wait for sockets retries until its deadline. Read and left: the gossip reader goes on after every error, at once; watches and links reconnect by timers of the loop.

--- a/cmd/larchusher/counters.go
+++ b/cmd/larchusher/counters.go
@@ -13,6 +13,7 @@
 // counters returns everything that the program counts, under the names that operators scrape.
 func (p *program) counters() (all []metrics.Value) {
 	all = append(all, p.connMetrics()...)
+	all = append(all, p.acceptMetrics()...)
 	all = append(all, p.discoveryMetrics()...)
 	for name, n := range p.gateway.Counters.ByName() {
 		all = append(all, count(name, "Of the gateway's core; see the operators' page.", n))
@@ -54,6 +55,14 @@
 	}
 }
 
+// acceptMetrics are about accepts that failed, on all listeners.
+func (p *program) acceptMetrics() (all []metrics.Value) {
+	for errno, n := range p.engine.AcceptFailures() {
+		all = append(all, count("accept_failed", "Accepts that failed, by errno.", n, metrics.Label{Name: "errno", Value: errno}))
+	}
+	return all
+}
+
 // discoveryMetrics are about the feed of the endpoint list.
 func (p *program) discoveryMetrics() []metrics.Value {
 	return []metrics.Value{
--- a/internal/hotrestart/hotrestart_test.go
+++ b/internal/hotrestart/hotrestart_test.go
@@ -244,3 +244,22 @@
 		}
 	}
 }
+
+// A successor got no sockets after one accept that failed for a shortage that passes.
+func TestAFailedAcceptDoesNotEndTheWaitForSockets(t *testing.T) {
+	calls := 0
+	conn, err := acceptWithRetry(func() (*net.UnixConn, error) {
+		if calls++; calls < 4 {
+			return nil, os.NewSyscallError("accept4", syscall.ENOBUFS)
+		}
+		return &net.UnixConn{}, nil
+	})
+	if conn == nil || err != nil || calls != 4 {
+		t.Errorf("after %d accepts: %v, %v", calls, conn, err)
+	}
+	for _, end := range []error{os.ErrDeadlineExceeded, net.ErrClosed} {
+		if _, err := acceptWithRetry(func() (*net.UnixConn, error) { return nil, end }); !errors.Is(err, end) {
+			t.Errorf("%v: %v", end, err)
+		}
+	}
+}
--- a/internal/hotrestart/receiver.go
+++ b/internal/hotrestart/receiver.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -22,7 +23,7 @@
 // receive waits for the active process to connect, and returns its listening sockets by their addresses.
 func receive(l *net.UnixListener) (*Receiver, map[string]*os.File, error) {
 	_ = l.SetDeadline(time.Now().Add(socketsTimeout)) // fails only if it is closed, and then Accept does
-	conn, err := l.AcceptUnix()
+	conn, err := acceptWithRetry(l.AcceptUnix)
 	if err != nil {
 		return nil, nil, fmt.Errorf("waiting for sockets: %w", err)
 	}
@@ -41,6 +42,18 @@
 	return r, byAddr, nil
 }
 
+// acceptWithRetry accepts a connection. Only the listener's deadline or its closing ends the wait: other errors of accept(2) are
+// of shortages that pass.
+func acceptWithRetry(accept func() (*net.UnixConn, error)) (*net.UnixConn, error) {
+	for {
+		conn, err := accept()
+		if err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) {
+			return conn, err
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
 // Next waits for the next connection that goes over. It fails once the other process has closed its [Link] or ended.
 func (r *Receiver) Next() (MigratedConn, error) {
 	p, files, err := r.next()
--- a/internal/logfields/events.go
+++ b/internal/logfields/events.go
@@ -34,6 +34,7 @@
 
 // Events of connections.
 const (
+	AcceptFailed          = "accept failed"
 	EndpointConnLost      = "endpoint connection lost"
 	EndpointAnswerFaulty  = "endpoint answer unreadable"
 	ConnTakeoverFailed    = "connection takeover failed"
--- a/internal/net/transport/listener.go
+++ b/internal/net/transport/listener.go
@@ -16,10 +16,8 @@
 	"larchusher/internal/logfields"
 )
 
-const (
-	slotTimeout         = 100 * time.Millisecond // for which a connection beyond the limit waits for a slot
-	acceptRetryInterval = 5 * time.Millisecond   // after an accept that failed for want of descriptors
-)
+// slotTimeout is how long a connection beyond the limit waits for a slot.
+const slotTimeout = 100 * time.Millisecond
 
 // Listener accepts connections on one address.
 type Listener struct {
@@ -29,6 +27,9 @@
 	onFull     func()
 	newHandler func() Handler
 
+	accept           func() (net.Conn, error) // tests make it fail
+	acceptDescriptor func(listening int) (int, error)
+
 	once      sync.Once
 	closeOnce sync.Once
 	closing   chan struct{} // closed by Yield
@@ -45,11 +46,25 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening on %s: %w", addr, err)
 	}
-	l := &Listener{engine: e, tcp: tcp, slots: newSlots(maxConns), onFull: onFull, newHandler: newHandler, closing: make(chan struct{})}
+	l := e.newListener(tcp, maxConns, onFull, newHandler)
 	go l.run() // one for the listener: nbio's own ends with the engine only
 	return l, nil
 }
 
+// newListener returns a listener on an open socket that does not accept yet.
+func (e *Engine) newListener(tcp *net.TCPListener, maxConns int, onFull func(), newHandler func() Handler) *Listener {
+	return &Listener{
+		engine:           e,
+		tcp:              tcp,
+		slots:            newSlots(maxConns),
+		onFull:           onFull,
+		newHandler:       newHandler,
+		accept:           tcp.Accept,
+		acceptDescriptor: acceptDescriptor,
+		closing:          make(chan struct{}),
+	}
+}
+
 // Inherit has Listen use the listening sockets of a former process, by their addresses. closeRest closes those that were not
 // used.
 func (e *Engine) Inherit(sockets map[string]*os.File) (closeRest func()) {
@@ -96,25 +111,6 @@
 	return errors.Join(err, failed)
 }
 
-// run accepts until the listener is closed or yields.
-func (l *Listener) run() {
-	for {
-		conn, err := l.tcp.Accept()
-		switch {
-		case err == nil:
-			l.take(conn)
-		case l.isClosing():
-			l.acceptQueued()
-			l.Close()
-			return
-		case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED):
-			time.Sleep(acceptRetryInterval)
-		default:
-			return
-		}
-	}
-}
-
 // take has a connection served, if there is a slot for it.
 func (l *Listener) take(conn net.Conn) {
 	if !l.slots.take(0) {
@@ -174,36 +170,6 @@
 	}
 }
 
-// acceptQueued takes what the kernel has accepted for this listener and run has not. Nothing else accepts meanwhile.
-func (l *Listener) acceptQueued() {
-	raw, err := l.tcp.SyscallConn()
-	if err != nil {
-		return
-	}
-	var queued []int
-	_ = raw.Control(func(listening uintptr) {
-		for {
-			fd, _, err := unix.Accept4(int(listening), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-			if err == nil {
-				queued = append(queued, fd)
-			} else if !errors.Is(err, unix.EINTR) && !errors.Is(err, unix.ECONNABORTED) {
-				return
-			}
-		}
-	})
-	l.Close() // before anything else is done: what comes from now on is another listener's
-	for _, fd := range queued {
-		file := os.NewFile(uintptr(fd), "queued connection")
-		conn, err := net.FileConn(file)
-		_ = file.Close()
-		if err != nil {
-			l.engine.log.WithError(err).Warn(logfields.ConnTakeoverFailed)
-			continue
-		}
-		l.take(conn)
-	}
-}
-
 // Addr is the address that is listened on.
 func (l *Listener) Addr() net.Addr { return l.tcp.Addr() }
 
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -47,17 +47,18 @@
 
 // Engine owns the connections of a program.
 type Engine struct {
-	log           logrus.FieldLogger
-	engine        *nbio.Engine
-	maxUnwritten  int64        // bytes that may wait to be written on all connections
-	unwritten     atomic.Int64 // bytes that do
-	reservedInput atomic.Int64 // bytes (see Conn.ReserveInput), at most half of maxUnwritten
-	lingering     atomic.Int64 // connections that have ended and are not closed
-	barrier       barrier
-	inherited     map[string]*os.File // listening sockets of a former process, by address
-	poller        pollerDescriptor
-	buffer        []byte     // the poller's, for reading
-	connMu        sync.Mutex // makes a Conn visible to the poller completely: nbio hands connections over through the kernel alone
+	log            logrus.FieldLogger
+	engine         *nbio.Engine
+	maxUnwritten   int64        // bytes that may wait to be written on all connections
+	unwritten      atomic.Int64 // bytes that do
+	reservedInput  atomic.Int64 // bytes (see Conn.ReserveInput), at most half of maxUnwritten
+	lingering      atomic.Int64 // connections that have ended and are not closed
+	barrier        barrier
+	inherited      map[string]*os.File // listening sockets of a former process, by address
+	acceptFailures acceptFailures
+	poller         pollerDescriptor
+	buffer         []byte     // the poller's, for reading
+	connMu         sync.Mutex // makes a Conn visible to the poller completely: nbio hands connections over through the kernel alone
 
 	Opened, Closed atomic.Uint64 // connections
 	RejectedConns  atomic.Uint64 // connections closed since there was no place
