An ejection that ended early does not block the next one

What callers saw: an endpoint that had answered once within a long ejection and then failed again stayed in use for up to 8 s, however many attempts failed there. Cause: recordSuccess set ejectionDuration to 0 and left ejectedUntil ahead; eject does nothing while that is ahead. Two fields said whether an ejection lasts, and only one was ended. Evidence: TestAnEjectionThatEndedEarlyDoesNotBlockTheNext failed before: healthy after three failures in a row, 8 s of ejection ahead. Change: the success that ends an ejection ends both. The state needs an answer within an ejection: one that was in flight, or panic mode. Result: the test passes 20 times of 20, all of routing's pass.

--- a/routing/outlier.go
+++ b/routing/outlier.go
@@ -13,9 +13,8 @@
 	maxEjection   = 8 * time.Second // each further ejection lasts twice as long, up to this
 )
 
-// recordSuccess takes in an answer of any use. One that brings the error rate below ejectionErrorRate makes the endpoint healthy at
-// once, also before its ejection would have ended, and its next ejection a first one. It can't be ejected anew before the time
-// at which the former ejection would have ended.
+// recordSuccess takes in an answer of any use. One that brings the error rate below ejectionErrorRate ends the endpoint's ejection
+// at once, and its next ejection is a first one.
 func (d *Director) recordSuccess(ep *endpoint) {
 	ep.lastOK, ep.overdueAnswers = d.now, 0
 	d.unattributedErrorRate[ep.role] -= errorRateWeight * d.unattributedErrorRate[ep.role]
@@ -23,6 +22,7 @@
 	ep.errorRate -= errorRateWeight * ep.errorRate
 	if ep.errorRate < ejectionErrorRate {
 		ep.ejectionDuration = 0
+		ep.ejectedUntil = min(ep.ejectedUntil, d.now)
 	}
 }
 
--- a/routing/outlier_test.go
+++ b/routing/outlier_test.go
@@ -260,3 +260,26 @@
 		}
 	}
 }
+
+// An endpoint that answered once within a long ejection, and then failed again, stayed in use until the end of that ejection.
+func TestAnEjectionThatEndedEarlyDoesNotBlockTheNext(t *testing.T) {
+	r := newRig(t, nil)
+	ep := r.d.endpoints["c1"]
+	fail := func() {
+		for range 3 {
+			r.d.recordFailure(ep)
+		}
+	}
+	for ep.ejectionDuration < maxEjection { // it fails whenever it is tried
+		r.after(ep.ejectionDuration).do(TimerFired{})
+		fail()
+	}
+	for !r.d.healthy(ep) {
+		r.d.recordSuccess(ep)
+	}
+	r.after(ms).do(TimerFired{})
+	fail()
+	if r.d.healthy(ep) || ep.ejectedUntil != r.d.now+firstEjection {
+		t.Errorf("healthy %v after three failures in a row, ejected until %v of %v", r.d.healthy(ep), ep.ejectedUntil, r.d.now)
+	}
+}
