What may not run twice is sent again only where nothing of it can have arrived

What callers saw: a request of a class that may not run twice was received twice (1) over RPC, where its gateway died within 50 ms after it had read the request; (2) over HTTP on a connection that was used before, where the gateway read it and closed: net/http sent it again by itself, and the planner's counters said one attempt. With an Idempotency-Key and no body (2) held for POST as well, also behind the end of the key's window. Cause: an orderly close was taken for "no request was open there". The kernel closes the sockets of a process that dies just as orderly. And net/http replays a GET without a body, and what has an Idempotency-Key, whatever GetBody says. Change: a close counts as clean only if nothing of the attempts in flight can have arrived. deliveryConn knows that: whatever the gateway's process could read was acknowledged by its FIN at the latest, so a request of which the kernel (TCP_INFO) has no byte acknowledged when the end is read has not run; neither has one of which nothing was written. Before each write it looks for an end that has come. On other systems, and on connections of another kind, nothing is known and all may have arrived. HTTP attempts are closed to net/http's replays and are written again, as the same attempt, on the same ground. Why this works: the proof is about bytes, not about what gateways promise, and every doubt falls to "may have run".

--- a/client/http.go
+++ b/client/http.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,8 +39,15 @@
 	maxAnswerBytes     = 256 << 10
 	maxErrorTextBytes  = 200 // of an answer's body in an error
 	maxRetryAfter      = time.Hour
+	// maxUndelivered is how many times an attempt is written to a connection of which the gateway closes before anything
+	// arrives: idle connections are closed in numbers.
+	maxUndelivered = 4
 )
 
+// idempotencyKeyHeader is written as it stands here. net/http takes a request with the header's canonical form for one that may be
+// sent twice, and does so by itself.
+const idempotencyKeyHeader = "idempotency-key"
+
 // httpConn is a gateway as the planner sees it: one connection with many attempts at once, on as many connections as net/http
 // opens.
 type httpConn struct {
@@ -69,10 +77,14 @@
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			select {
 			case nc := <-first:
-				return nc, nil
+				return newDeliveryConn(nc), nil
 			default:
-				return dial(ctx, network, addr)
 			}
+			nc, err := dial(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return newDeliveryConn(nc), nil
 		},
 	}
 	c.client = &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
@@ -123,16 +135,42 @@
 }
 
 // roundTrip sends one request and reads its answer. An error says that none came; what fails before anything is sent is
-// an answer with an Err.
+// an answer with an Err. A request of which nothing reached the gateway, since that closed an idle connection, is written to
+// another connection: it is the same attempt.
 func (c *httpConn) roundTrip(ctx context.Context, t Try) (Answer, error) {
-	q, err := c.newRequest(ctx, t)
-	if err != nil {
-		return Answer{Err: err}, nil
+	for undelivered := 1; ; undelivered++ {
+		var used usedConn
+		q, err := c.newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: used.record}), t)
+		if err != nil {
+			return Answer{Err: err}, nil
+		}
+		resp, err := c.client.Do(q) //nolint:bodyclose // readAnswer closes it
+		if err == nil {
+			return c.readAnswer(resp)
+		}
+		if used.mayHaveArrived() || ctx.Err() != nil || undelivered == maxUndelivered {
+			return Answer{}, err
+		}
 	}
-	resp, err := c.client.Do(q)
-	if err != nil {
-		return Answer{}, err
+}
+
+// usedConn is the connection that a request was given, and how much had been written to it before.
+type usedConn struct {
+	conn   *deliveryConn // nil: it was given none
+	offset uint64
+}
+
+func (u *usedConn) record(info httptrace.GotConnInfo) {
+	if nc, ok := info.Conn.(*deliveryConn); ok {
+		u.conn, u.offset = nc, nc.offset()
 	}
+}
+
+// mayHaveArrived reports whether the request may have reached the gateway. Without a connection there is nobody to try again with.
+func (u *usedConn) mayHaveArrived() bool { return u.conn == nil || u.conn.mayHaveArrived(u.offset) }
+
+// readAnswer reads the answer whose head has come.
+func (c *httpConn) readAnswer(resp *http.Response) (Answer, error) {
 	defer func() { _ = resp.Body.Close() }() // what could be read of it was
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
@@ -163,9 +201,9 @@
 	if err != nil {
 		return nil, err
 	}
-	q.GetBody = nil // the planner decides what is sent again, not net/http
+	forbidReplay(q)
 	if t.Key != "" {
-		q.Header.Set("Idempotency-Key", t.Key)
+		q.Header[idempotencyKeyHeader] = []string{t.Key}
 	} else if r.Have != "" {
 		q.Header.Set("If-None-Match", `"`+r.Have+`"`)
 	}
@@ -178,6 +216,15 @@
 	return q, nil
 }
 
+// forbidReplay keeps net/http from sending a request again by itself: what is sent again decides the planner. A GET without a
+// body is replayed however GetBody stands, so it gets one to read, which has no bytes and is not sent.
+func forbidReplay(q *http.Request) {
+	q.GetBody = nil
+	if q.Method == http.MethodGet && q.Body == http.NoBody {
+		q.Body = io.NopCloser(bytes.NewReader(nil))
+	}
+}
+
 // answer converts a response to an answer by its status.
 func (c *httpConn) answer(resp *http.Response, body []byte) Answer {
 	a := Answer{Tag: strings.Trim(resp.Header.Get("ETag"), `"`)}
--- a/client/plan/conn.go
+++ b/client/plan/conn.go
@@ -118,8 +118,8 @@
 	return crossed
 }
 
-// crossedClose reports whether the only attempt on a connection crossed its orderly close on the way. A gateway closes
-// only connections without open requests, so the attempt has not run and may be sent again, once for each call.
+// crossedClose reports whether the only attempt on a connection crossed its clean close on the way. Such a close says that
+// nothing of the attempt has reached the gateway, so it has not run and may be sent again, once for each call.
 func (p *Planner) crossedClose(t *attempt) bool {
 	return p.now-t.sentAt <= crossedCloseWindow && !t.call.crossedClose
 }
--- a/client/plan/plan.go
+++ b/client/plan/plan.go
@@ -75,7 +75,7 @@
 // Down says that a connection did not come up or has ended.
 type Down struct {
 	Conn  uint64
-	Clean bool // the gateway closed it in order
+	Clean bool // the gateway closed it in order, and nothing of the attempts in flight can have reached it
 }
 
 // Heard says that something came on a connection that is no answer to an attempt, such as the answer to a health check.
--- a/client/tcp.go
+++ b/client/tcp.go
@@ -25,22 +25,29 @@
 	events Events
 	cancel context.CancelFunc
 
-	mu               sync.Mutex // guards what follows
-	wake             *sync.Cond // for the writer: there is something to write, or the connection is closed
-	nc               net.Conn   // nil before it is up
+	mu               sync.Mutex    // guards what follows
+	wake             *sync.Cond    // for the writer: there is something to write, or the connection is closed
+	nc               *deliveryConn // nil before it is up
 	outgoing         bytes.Buffer
+	takenBytes       uint64       // that the writer has taken off outgoing
 	enc              *rpc.Encoder // writes to outgoing
 	lastMessageID    uint32
-	attemptByMessage map[uint32]uint64 // those in flight
+	attemptByMessage map[uint32]sentAttempt // those in flight
 	messageByAttempt map[uint64]uint32
 	healthChecks     map[uint32]bool // by message: those without an answer
 	closed           bool
 }
 
+// sentAttempt is an attempt in flight.
+type sentAttempt struct {
+	id     uint64
+	offset uint64 // of its first byte, among all that is written to the connection
+}
+
 // Connect begins to connect.
 func (t *RPC) Connect(gateway string, timeout time.Duration, ev Events) Conn {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	c := &rpcConn{events: ev, cancel: cancel, attemptByMessage: map[uint32]uint64{}, messageByAttempt: map[uint64]uint32{}, healthChecks: map[uint32]bool{}}
+	c := &rpcConn{events: ev, cancel: cancel, attemptByMessage: map[uint32]sentAttempt{}, messageByAttempt: map[uint64]uint32{}, healthChecks: map[uint32]bool{}}
 	c.wake, c.enc = sync.NewCond(&c.mu), rpc.NewEncoder(&c.outgoing)
 	dial := t.Dial
 	if dial == nil {
@@ -65,15 +72,27 @@
 		_ = nc.Close() // nothing was sent on it
 		return
 	}
-	c.nc = nc
+	c.nc = newDeliveryConn(nc)
 	c.mu.Unlock()
 	c.events.Up()
 	var writer sync.WaitGroup
 	writer.Go(c.write)
 	err = c.read()
+	clean = errors.Is(err, io.EOF) && c.nothingArrived()
 	c.Close()
 	writer.Wait()
-	clean = errors.Is(err, io.EOF)
+}
+
+// nothingArrived reports whether no byte of the attempts in flight can have reached the gateway, which has closed the connection.
+func (c *rpcConn) nothingArrived() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.attemptByMessage {
+		if c.nc.mayHaveArrived(t.offset) {
+			return false
+		}
+	}
+	return true
 }
 
 // errUnknownMessage is why a connection ends whose gateway answers a message that was never sent.
@@ -116,7 +135,9 @@
 	defer c.mu.Unlock()
 	m := message{healthCheck: c.healthChecks[id], sent: id <= c.lastMessageID}
 	delete(c.healthChecks, id)
-	if m.attempt, m.inFlight = c.attemptByMessage[id]; m.inFlight {
+	var sent sentAttempt
+	if sent, m.inFlight = c.attemptByMessage[id]; m.inFlight {
+		m.attempt = sent.id
 		delete(c.attemptByMessage, id)
 		delete(c.messageByAttempt, m.attempt)
 	}
@@ -136,9 +157,14 @@
 			return
 		}
 		b = append(b[:0], c.outgoing.Bytes()...)
+		c.takenBytes += uint64(len(b))
 		c.outgoing.Reset()
 		c.mu.Unlock()
-		if _, err := c.nc.Write(b); err != nil {
+		_, err := c.nc.Write(b)
+		if errors.Is(err, errPeerClosed) { // the reader comes to the end by itself, behind what was answered before it
+			return
+		}
+		if err != nil {
 			_ = c.nc.Close() // the reader reports the end
 			return
 		}
@@ -153,7 +179,8 @@
 		return
 	}
 	c.lastMessageID++
-	c.attemptByMessage[c.lastMessageID], c.messageByAttempt[t.ID] = t.ID, c.lastMessageID
+	c.attemptByMessage[c.lastMessageID] = sentAttempt{id: t.ID, offset: c.takenBytes + uint64(c.outgoing.Len())}
+	c.messageByAttempt[t.ID] = c.lastMessageID
 	r := t.Request
 	_ = c.enc.Request(&rpc.Request{ID: c.lastMessageID, Class: r.Class, Txn: t.Txn, Limit: t.Limit, Retry: t.Second, Key: t.Key,
 		Object: r.Object, Part: r.Part, Group: r.Group, Have: r.Have, Body: r.Body}) // a buffer takes it all
--- a/client/transport.go
+++ b/client/transport.go
@@ -26,7 +26,9 @@
 // Events is what a connection reports, from any goroutine but not from within a call of its methods.
 type Events interface {
 	Up()
-	Down(clean bool) // once, as the last of all: also after Close, and when nothing of the connection runs any more
+	// Down comes once, as the last of all: also after Close, and when nothing of the connection runs any more. clean: the
+	// gateway closed it in order, and nothing of the attempts in flight can have reached it.
+	Down(clean bool)
 	Heard(alive bool)
 	Answer(try uint64, a Answer)
 }
