Rejections carry the Retry-After that the settings allow, spread, and count once

What callers saw: requests rejected for want of capacity, or at their deadline, were told to come back at one and the same time, also where the settings send no Retry-After; a client with too many open requests likewise; HTTP said 1 s where there was no advice. Who asked for a class or as a tenant that the settings don't name was told to come back, which can't help. What an embedded gateway shed stood twice in the figures by class. Cause: each place that rejects worded its Retry-After by itself. Change: LongRetryAfter, between half and all of the longest, by the request's id; too many open on a connection get the gateway's present Retry-After in place of 100 ms; httpapi sends none for none; unknown classes and tenants are rejected without one. A request shed within Submit is counted by the admission controller alone.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -109,6 +110,20 @@
 	return overload.Jitter(g.shedController.RetryAfter(), xxhash.Sum64String(id))
 }
 
+// longRetryAfterShare is the least share of Settings.MaxRetryAfter in LongRetryAfter.
+const longRetryAfterShare = 0.5
+
+// LongRetryAfter is when a client should come back that is rejected for another reason than the present load: between
+// half of Settings.MaxRetryAfter and all of it. It differs with the client's id, too; 0 where no Retry-After is sent.
+func (g *Gateway) LongRetryAfter(id string) time.Duration {
+	if !g.cfg.Settings.SendRetryAfter {
+		return 0
+	}
+	longest := float64(g.cfg.Settings.MaxRetryAfter)
+	draw := float64(xxhash.Sum64String(id)) / math.MaxUint64
+	return time.Duration(longest * (longRetryAfterShare + (1-longRetryAfterShare)*draw))
+}
+
 // shedRequest rejects a request that no endpoint has seen.
 func (g *Gateway) shedRequest(r *Request, retryAfter time.Duration) {
 	if !g.cfg.Settings.SendRetryAfter {
@@ -117,6 +132,14 @@
 	g.answerRequest(r, Answer{Outcome: OutcomeRejected, RetryAfter: retryAfter, Retryable: true})
 }
 
+// rejectShed rejects a request that the admission controller has shed, and counted as such.
+func (g *Gateway) rejectShed(r *Request, retryAfter time.Duration) {
+	if !g.cfg.Settings.SendRetryAfter {
+		retryAfter = 0
+	}
+	g.answerRequest(r, Answer{Outcome: OutcomeRejected, RetryAfter: retryAfter, Retryable: true, countedAsShed: true})
+}
+
 // classOrder ranks the classes that are served at present.
 func (g *Gateway) classOrder() *overload.Order { return g.generations.current.Load().order }
 
--- a/gateway/answers.go
+++ b/gateway/answers.go
@@ -27,7 +27,8 @@
 	RetryAfter time.Duration // advice to the client; 0: none
 	Retryable  bool          // retrying is harmless
 
-	cause failureCause // of Failed and Expired, for the log
+	cause         failureCause // of Failed and Expired, for the log
+	countedAsShed bool         // the admission controller has counted it
 }
 
 // answerRequest gives a request its final answer, unless it has had one or its client has left: an answer of a second
@@ -38,7 +39,9 @@
 	}
 	g.closeRequest(r)
 	g.Counters.Answered[a.Outcome]++
-	g.CountAnswer(r.Class, a)
+	if !a.countedAsShed {
+		g.CountAnswer(r.Class, a)
+	}
 	if a.Outcome == OutcomeFailed || a.Outcome == OutcomeExpired {
 		g.logFailure(r, a)
 	}
--- a/gateway/outcomes.go
+++ b/gateway/outcomes.go
@@ -3,8 +3,7 @@
 import "larchusher/overload"
 
 // ClassOutcomes counts the final answers to requests of one class, as their clients see them. With the open requests they
-// add up to those that were submitted or shed: a request whose client left first counts as failed. One that is shed within
-// [Gateway.Submit], which an embedded gateway's are, counts twice: as submitted and as shed.
+// add up to those that were submitted, or shed before: a request whose client left first counts as failed.
 type ClassOutcomes struct {
 	Served   uint64
 	Rejected uint64 // retrying is harmless
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -49,7 +49,7 @@
 	r.band = g.classOrder().Band(r.Class, r.Retry)
 	if !r.Admitted {
 		if retryAfter, ok := g.admissionController().Admit(int(r.Front), r.band, xxhash.Sum64String(r.ID)); !ok {
-			g.shedRequest(r, retryAfter)
+			g.rejectShed(r, retryAfter)
 			return
 		}
 	}
--- a/gateway/requests.go
+++ b/gateway/requests.go
@@ -77,7 +77,7 @@
 func (g *Gateway) Submit(r *Request) {
 	g.register(r)
 	if g.overCapacity() {
-		g.answerRequest(r, Answer{Outcome: OutcomeRejected, RetryAfter: g.cfg.Settings.MaxRetryAfter, Retryable: true})
+		g.answerRequest(r, Answer{Outcome: OutcomeRejected, RetryAfter: g.LongRetryAfter(r.ID), Retryable: true})
 		return
 	}
 	if !g.claimID(r) {
@@ -184,7 +184,7 @@
 	if r.answered {
 		return
 	}
-	g.answerRequest(r, Answer{Outcome: OutcomeExpired, Retryable: r.idempotent(), RetryAfter: g.cfg.Settings.MaxRetryAfter / 2, cause: causeDeadline})
+	g.answerRequest(r, Answer{Outcome: OutcomeExpired, Retryable: r.idempotent(), RetryAfter: g.LongRetryAfter(r.ID), cause: causeDeadline})
 	g.handleEvent(event{locality: r.locality, Event: routing.ClientGone{ID: r.directorID}})
 	g.cancelAttempts(r)
 }
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -69,12 +69,15 @@
 
 // Overloaded is the answer to a request with a good token that is shed for load.
 func Overloaded(retryAfterTime time.Duration) *Problem {
-	return newProblem(http.StatusServiceUnavailable, "refused: trying again is harmless", retryAfter(retryAfterTime))
+	return newProblem(http.StatusServiceUnavailable, "refused: trying again is harmless", retryAfter(retryAfterTime)...)
 }
 
-// retryAfter words a Retry-After: whole seconds (RFC 9110, 10.2.3), rounded up, and one at least.
-func retryAfter(d time.Duration) [2]string {
-	return [2]string{"Retry-After", strconv.FormatInt(max(1, int64((d+time.Second-1)/time.Second)), 10)}
+// retryAfter words a Retry-After: whole seconds (RFC 9110, 10.2.3), rounded up; 0: none is sent.
+func retryAfter(d time.Duration) [][2]string {
+	if d <= 0 {
+		return nil
+	}
+	return [][2]string{{"Retry-After", strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)}}
 }
 
 // IsRetry reports whether a request is marked as a client's retry, as package client marks them.
@@ -258,7 +261,7 @@
 		}
 	case gateway.OutcomeRejected:
 		r.Status = http.StatusServiceUnavailable
-		r.Header = append(r.Header, retryAfter(ans.RetryAfter))
+		r.Header = append(r.Header, retryAfter(ans.RetryAfter)...)
 		r.Body = []byte("refused: trying again is harmless\n")
 	case gateway.OutcomeExpired:
 		r.Status = http.StatusGatewayTimeout
--- a/internal/net/msgpackrpc/conn.go
+++ b/internal/net/msgpackrpc/conn.go
@@ -127,7 +127,7 @@
 	if len(c.open) >= maxOpenPerConn {
 		c.front.TooManyOpen++
 		c.front.gateway.CountAnswer(r.Class, gateway.Answer{Outcome: gateway.OutcomeRejected})
-		c.write(appendRejection(nil, m.id, tooManyOpenRetryAfter))
+		c.write(appendRejection(nil, m.id, c.front.gateway.RetryAfter(r.ID)))
 		return
 	}
 	r.Client = c.client
--- a/internal/net/msgpackrpc/front.go
+++ b/internal/net/msgpackrpc/front.go
@@ -12,12 +12,11 @@
 )
 
 const (
-	maxOpenPerConn        = 32                     // requests open on one connection; others are rejected,
-	tooManyOpenRetryAfter = 100 * time.Millisecond // to come back after this
-	sweepInterval         = 250 * time.Millisecond // between two looks for connections that hold their places for nothing
-	maxIdleBuffer         = 16 << 10               // bytes of a connection's buffer, between messages
-	maxRejectionBatch     = 32 << 10               // bytes of rejections that are written at once
-	messageCost           = 512                    // bytes of a message beside its body
+	maxOpenPerConn    = 32                     // requests open on one connection; others are rejected,
+	sweepInterval     = 250 * time.Millisecond // between two looks for connections that hold their places for nothing
+	maxIdleBuffer     = 16 << 10               // bytes of a connection's buffer, between messages
+	maxRejectionBatch = 32 << 10               // bytes of rejections that are written at once
+	messageCost       = 512                    // bytes of a message beside its body
 )
 
 // errEnding ends connections with the program.
--- a/routing/request.go
+++ b/routing/request.go
@@ -66,7 +66,11 @@
 		return
 	}
 	c := d.classOf(q)
-	if c == nil || q.Deadline <= d.now || !d.knownTenant(q.Tenant) {
+	if c == nil || !d.knownTenant(q.Tenant) { // coming back cannot help
+		d.emit(Reject{ID: q.ID})
+		return
+	}
+	if q.Deadline <= d.now {
 		d.emit(Reject{ID: q.ID, RetryAfter: d.retryAfter()})
 		return
 	}
--- a/routing/retry_test.go
+++ b/routing/retry_test.go
@@ -152,3 +152,19 @@
 		t.Error(what)
 	}
 }
+
+// Who asks for a class or as a tenant that the settings do not name was told to come back, which can't help.
+func TestAnUnknownClassIsNotToldToComeBack(t *testing.T) {
+	r := newRig(t, func(s *Settings) { s.Tenants = []string{"known"} })
+	for _, q := range []Request{{ID: "class", Class: "unheard of"}, {ID: "tenant", Class: "page", Tenant: "unheard of"}} {
+		q.Object, q.Deadline = "o", r.now+time.Second
+		reject := first[Reject](r.do(q))
+		if reject == nil || reject.RetryAfter != 0 {
+			t.Errorf("%s: %+v", q.ID, reject)
+		}
+	}
+	late := first[Reject](r.do(Request{ID: "late", Class: "page", Tenant: "known", Object: "o", Deadline: r.now}))
+	if late == nil || late.RetryAfter == 0 {
+		t.Errorf("one that comes too late: %+v", late)
+	}
+}
