The audit log names every transition of a maintenance request, also behind the twelfth

What operators saw: after twelve transitions of a request the audit log said nothing more of it, while machines went out and came back. Cause: emitAudit took the length of the history for the number of its transitions; a history keeps its first and its latest eleven, so the length stays twelve. Change: the history as it was emitted is kept, and what follows its overlap with the present one is new. Stored forms stay.

--- a/cluster/node.go
+++ b/cluster/node.go
@@ -54,12 +54,12 @@
 	shutDown          bool          // and is completed
 
 	// The voter (voter.go, operator.go).
-	voter          *consensus.Voter   // nil: this node does not vote
-	chosen         *maintenance.State // decoded state of chosenRevision
-	chosenRevision uint64
-	pending        map[string]pendingRequest // by the ID under which the voter here was asked
-	relayed        map[uint64]pendingRequest // sent on to a voter elsewhere, by ID
-	auditedLines   map[uint64]int            // by request: lines of its history that were emitted
+	voter            *consensus.Voter   // nil: this node does not vote
+	chosen           *maintenance.State // decoded state of chosenRevision
+	chosenRevision   uint64
+	pending          map[string]pendingRequest           // by the ID under which the voter here was asked
+	relayed          map[uint64]pendingRequest           // sent on to a voter elsewhere, by ID
+	auditedHistories map[uint64][]maintenance.Transition // by request: its history as it was emitted
 
 	// The coordinator (coordinator.go).
 	ownReport    Report
@@ -75,15 +75,15 @@
 		return nil, err
 	}
 	n := &Node{
-		cfg:           c,
-		rng:           rand.New(rand.NewPCG(c.Seed, 0xc2b2ae35)),
-		leaseRequests: map[uint64]time.Duration{},
-		pending:       map[string]pendingRequest{},
-		relayed:       map[uint64]pendingRequest{},
-		auditedLines:  map[uint64]int{},
-		reports:       map[string]receivedReport{},
-		lastReceived:  map[string]time.Duration{},
-		stageSince:    map[stageKey]time.Duration{},
+		cfg:              c,
+		rng:              rand.New(rand.NewPCG(c.Seed, 0xc2b2ae35)),
+		leaseRequests:    map[uint64]time.Duration{},
+		pending:          map[string]pendingRequest{},
+		relayed:          map[uint64]pendingRequest{},
+		auditedHistories: map[uint64][]maintenance.Transition{},
+		reports:          map[string]receivedReport{},
+		lastReceived:     map[string]time.Duration{},
+		stageSince:       map[stageKey]time.Duration{},
 	}
 	if slices.Contains(c.Voters, c.Self) {
 		var err error
--- a/cluster/voter.go
+++ b/cluster/voter.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -160,13 +161,23 @@
 	present := map[uint64]bool{}
 	for _, r := range decoded.Requests {
 		present[r.ID] = true
-		audited := n.auditedLines[r.ID]
-		for i, t := range r.History {
-			if i >= audited {
-				n.emit(AuditEntry{r.AuditLine(t)})
-			}
+		for _, t := range newTransitions(n.auditedHistories[r.ID], r.History) {
+			n.emit(AuditEntry{r.AuditLine(t)})
 		}
-		n.auditedLines[r.ID] = len(r.History)
+		n.auditedHistories[r.ID] = r.History
 	}
-	maps.DeleteFunc(n.auditedLines, func(id uint64, _ int) bool { return !present[id] })
+	maps.DeleteFunc(n.auditedHistories, func(id uint64, _ []maintenance.Transition) bool { return !present[id] })
+}
+
+// newTransitions returns what a history has and an earlier one of the same request had not. A history keeps its first entry and the
+// latest ones, so that its length does not tell.
+func newTransitions(earlier, history []maintenance.Transition) []maintenance.Transition {
+	if len(earlier) == 0 || len(history) == 0 {
+		return history
+	}
+	kept, latest := earlier[1:], history[1:]
+	for len(kept) > len(latest) || !slices.Equal(kept, latest[:len(kept)]) {
+		kept = kept[1:]
+	}
+	return latest[len(kept):]
 }
