A reload is taken in whole or not at all, its localities too

What operators saw: a reload whose localities were at fault for the gateway logged `reloaded` and counted as a success, with the new classes in force and the old limits of localities. Cause: the gateway checked localities only while it applied them, behind the classes, and the error was logged alone. By the files as they are read today it can't come to that, since the file's check and the list of names catch the same faults before: read, and not seen in service. The next key that only the gateway can check would have met it. Evidence: TestAReconfigurationIsTakenInWholeOrNotAtAll needs the one call that this commit makes; with the two calls that reload made before, the classes hold after an error of the localities (read). Change: gateway.Reconfigure checks classes and localities before it applies either, and reload has one error for all. An error of the classes no longer stops the timer by which dropped classes end. The event `reload of localities failed` is gone.

--- a/cmd/larchusher/reload.go
+++ b/cmd/larchusher/reload.go
@@ -4,6 +4,7 @@
 	"os"
 	"strings"
 
+	"larchusher/gateway"
 	"larchusher/internal/config"
 	"larchusher/internal/httpapi"
 	"larchusher/internal/logfields"
@@ -38,9 +39,7 @@
 
 // applyReload takes over what may change while the program runs: the journal's address, the classes, the limit on attempts, the
 // signed front's keys and the bounds of localities. Requests and connections stay as they are. Both files are checked before
-// anything is used: if one is at fault, all stays as it was. What the gateway finds wrong with localities only when they are
-// applied comes after the classes hold: ReconfigureLocalities' error is logged and the rest of the reload goes on, and
-// ReconfigureClasses may return an error of the locality policy, by which the reload is logged as rejected.
+// anything is used: if one is at fault, all stays as it was.
 func (p *program) applyReload(cfg *config.Gateway, op *config.Operator) error {
 	if err := p.cfg.CheckReload(cfg); err != nil {
 		return err
@@ -54,7 +53,11 @@
 	if err != nil {
 		return err
 	}
-	if err := p.gateway.ReconfigureClasses(cfg.Settings.Classes, cfg.Settings.MaxAttempts); err != nil {
+	if p.operator.Localities == nil || !p.operator.SameRestartSettings(op) { // they take effect with the next start
+		tiers = nil
+	}
+	change := gateway.Reconfiguration{Classes: cfg.Settings.Classes, MaxAttempts: cfg.Settings.MaxAttempts, Localities: tiers}
+	if err := p.gateway.Reconfigure(change); err != nil {
 		return err
 	}
 	p.reloads++
@@ -64,11 +67,6 @@
 	p.pool.SetAnswerTimeout(p.longestDeadline())
 	p.discovery.SetAddress(cfg.Journal)
 	p.reloadSignedFront(op.Signed)
-	if p.operator.Localities != nil && tiers != nil && p.operator.SameRestartSettings(op) {
-		if err := p.gateway.ReconfigureLocalities(*tiers); err != nil {
-			p.log.WithError(err).Error(logfields.ReloadLocalityFailed)
-		}
-	}
 	p.log.Info(logfields.Reloaded)
 	return nil
 }
--- a/gateway/localities.go
+++ b/gateway/localities.go
@@ -87,9 +87,8 @@
 	return locality.DefaultTick
 }
 
-// ReconfigureLocalities has other limits, ramps and weights hold; the localities must be those of the start. On an error
-// all stays as it was.
-func (g *Gateway) ReconfigureLocalities(cfg locality.Config) error {
+// checkLocalities reports why a configuration of localities can't take the place of the present one.
+func (g *Gateway) checkLocalities(cfg locality.Config) error {
 	var names []string
 	for _, l := range cfg.Localities {
 		names = append(names, l.Name)
@@ -97,6 +96,19 @@
 	if g.localityPolicy == nil || !slices.Equal(names, g.names) {
 		return fmt.Errorf("gateway: tiers: the localities are %q, and were %q at the start", names, g.names)
 	}
+	complete := g.localityConfig(cfg, g.classOrder().Bands())
+	if err := complete.Validate(); err != nil {
+		return fmt.Errorf("gateway: %w", err)
+	}
+	return nil
+}
+
+// ReconfigureLocalities has other limits, ramps and weights hold; the localities must be those of the start. On an error
+// all stays as it was.
+func (g *Gateway) ReconfigureLocalities(cfg locality.Config) error {
+	if err := g.checkLocalities(cfg); err != nil {
+		return err
+	}
 	if err := g.localityPolicy.Reconfigure(g.localityConfig(cfg, g.classOrder().Bands())); err != nil {
 		return fmt.Errorf("gateway: %w", err)
 	}
--- a/gateway/reconfigure.go
+++ b/gateway/reconfigure.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"larchusher/internal/logfields"
+	"larchusher/locality"
 	"larchusher/overload"
 	"larchusher/routing"
 )
@@ -72,12 +73,33 @@
 // Classes returns the classes whose requests are served at present, retired ones among them.
 func (g *Gateway) Classes() []routing.Class { return g.cfg.Settings.Classes }
 
+// Reconfiguration is what may change while a gateway runs.
+type Reconfiguration struct {
+	Classes     []routing.Class
+	MaxAttempts int              // of a request; 0: no limit
+	Localities  *locality.Config // the limits, ramps and weights of the localities of the start; nil: they stay as they are
+}
+
+// Reconfigure takes a reconfiguration in whole. On an error all stays as it was.
+func (g *Gateway) Reconfigure(r Reconfiguration) error {
+	if r.Localities != nil {
+		if err := g.checkLocalities(*r.Localities); err != nil {
+			return err
+		}
+	}
+	if err := g.ReconfigureClasses(r.Classes, r.MaxAttempts); err != nil {
+		return err
+	}
+	if r.Localities == nil {
+		return nil
+	}
+	return g.ReconfigureLocalities(*r.Localities)
+}
+
 // ReconfigureClasses has other classes and another limit on attempts (0: none) hold for requests that come from now on.
 // Open requests keep the rules by which they came. A class that is not among the new ones is served on for a short while.
 //
-// An error of the check of the classes changes nothing. One of the overload controller leaves the classes that are served as
-// they are; those that had been dropped before are then served on. The locality policy is told last: its error is returned
-// though the new classes hold by then.
+// An error of the checks changes nothing.
 func (g *Gateway) ReconfigureClasses(classes []routing.Class, maxAttempts int) error {
 	if err := routing.CheckClasses(classes); err != nil {
 		return fmt.Errorf("gateway: %w", err)
@@ -88,10 +110,10 @@
 			served = append(served, c)
 		}
 	}
-	g.retiredClassesTimer.Stop()
 	if err := g.applyClasses(served, maxAttempts); err != nil {
 		return err
 	}
+	g.retiredClassesTimer.Stop()
 	if len(served) > len(classes) {
 		g.retiredClassesTimer = g.cfg.Loop.After(retiredClassLifetime, func() {
 			if err := g.applyClasses(classes, maxAttempts); err != nil {
--- a/internal/logfields/events.go
+++ b/internal/logfields/events.go
@@ -20,7 +20,6 @@
 	ReloadRejected        = "reload rejected"
 	ReloadNeedsRestart    = "reload needs restart"
 	ReloadClassesFailed   = "reload of classes failed"
-	ReloadLocalityFailed  = "reload of localities failed"
 	ReloadSignedFailed    = "reload of the signed front failed"
 	ReloadSignedFrontDone = "reload closed the signed front"
 )
