A deadline that a reload lengthens reaches the time for which drained machines are left

What callers saw: after a reload with a longer deadline, a machine could be taken out for maintenance while requests under that deadline still ran there: they were cut off. Cause: the drain grace was set from the classes of the start; a comment said so. Change: a reload extends the grace at this gateway, which matters where it coordinates. It is never shortened before the next start, since requests under the longer deadline may be out. Not run: a reload beside maintenance on sockets.

--- a/cluster/node.go
+++ b/cluster/node.go
@@ -103,6 +103,12 @@
 	return n, nil
 }
 
+// ExtendDrainGrace has the time until a drained machine counts as left be at least d from now on. It is never shortened: what was
+// sent under the longer one may still run.
+func (n *Node) ExtendDrainGrace(d time.Duration) {
+	n.cfg.Limits.DrainGrace = max(n.cfg.Limits.DrainGrace, d)
+}
+
 // Handle takes one event at the given time and appends the actions to out. Time must not run backwards.
 func (n *Node) Handle(now time.Duration, e Event, out []Action) []Action {
 	n.now, n.actions = now, out
--- a/cmd/larchusher/reload.go
+++ b/cmd/larchusher/reload.go
@@ -67,6 +67,9 @@
 	p.pool.SetAnswerTimeout(p.longestDeadline())
 	p.discovery.SetAddress(cfg.Journal)
 	p.reloadSignedFront(op.Signed)
+	if p.cluster != nil {
+		p.cluster.ReconfigureClasses(cfg.Settings.Classes)
+	}
 	p.log.Info(logfields.Reloaded)
 	return nil
 }
--- a/internal/clusternode/node.go
+++ b/internal/clusternode/node.go
@@ -108,13 +108,7 @@
 
 func (n *Node) clusterConfig(set routing.Settings) cluster.Config {
 	limits := n.cfg.Limits
-	longestDeadline := time.Duration(0)
-	for _, c := range set.Classes {
-		longestDeadline = max(longestDeadline, c.Deadline)
-	}
-	// The deadlines are those of the start: a reload does not reach the limits, and a longer deadline that it brings in counts
-	// from the next start only.
-	limits.DrainGrace = max(set.DrainGrace, longestDeadline+drainSlack)
+	limits.DrainGrace = max(set.DrainGrace, drainGraceFor(set.Classes))
 	limits.SlowStart = max(set.SlowStartFor, set.ParentSlowStartFor)
 	c := cluster.Config{Self: n.cfg.Name, Incarnation: newIncarnation(), Members: n.memberNames(), Voters: n.cfg.Voters, Limits: limits,
 		WallClockMs: n.wallClockMs, ReadInterval: readInterval, Seed: newIncarnation()}
@@ -122,6 +116,20 @@
 	return c
 }
 
+// drainGraceFor is how long what was sent to a machine under the deadlines of classes may still run.
+func drainGraceFor(classes []routing.Class) time.Duration {
+	longestDeadline := time.Duration(0)
+	for _, c := range classes {
+		longestDeadline = max(longestDeadline, c.Deadline)
+	}
+	return longestDeadline + drainSlack
+}
+
+// ReconfigureClasses takes in the classes of a reload: a longer deadline extends the time that drained machines are left.
+func (n *Node) ReconfigureClasses(classes []routing.Class) {
+	n.cluster.ExtendDrainGrace(drainGraceFor(classes))
+}
+
 func (n *Node) memberNames() (names []string) {
 	for _, m := range n.cfg.Members {
 		names = append(names, m.Name)
