A discovery service behind a slow link is reached: connections that come up late are used

The gateway went on with the endpoint list and the purges of its start for good, with one warning in its log. Cause: each connection was given up after 0.5 s and another one begun, which takes as long. Change: after 0.5 s another connection is begun beside the slow one, as before, which finds a service at once that is back; but the first one that comes up within 5 s is used, and the others are closed without a request. One that closed before it was taken in is not used.

--- a/internal/net/discovery/client.go
+++ b/internal/net/discovery/client.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	connectTimeout       = 500 * time.Millisecond
+	connectTimeout       = 500 * time.Millisecond  // after which another connection is tried beside it
+	maxConnectTime       = 5 * time.Second         // a slow one may still come up until then
 	silenceTimeout       = 2500 * time.Millisecond // the service sends a comment each second
 	silenceCheckInterval = connectTimeout / 5
 	minBackoff           = 50 * time.Millisecond
@@ -31,13 +32,13 @@
 // Client watches the service, and reconnects with backoff when a connection ends or falls silent. It lives on the loop.
 type Client struct {
 	loop    *gateway.Loop
-	engine  *transport.Engine
 	log     logrus.FieldLogger
+	dial    dialFunc // tests make it slow
 	addr    string
 	applier *EventApplier
 
-	position       int64 // the latest event taken in
-	current        *stream
+	position       int64   // the latest event taken in
+	current        *stream // nil: none, or only slow ones that are coming up still
 	lastByte       time.Time
 	backoff        time.Duration
 	reconnectTimer *gateway.Timer // of the next try, while there is no connection
@@ -45,13 +46,20 @@
 	Connects, Events, Dropped uint64
 }
 
+// dialFunc connects as transport.Engine.Dial does.
+type dialFunc func(addr string, timeout time.Duration, h transport.Handler, opened func(*transport.Conn), failed func(error))
+
 // Watch begins to watch the service at addr behind the event at a position, and gives its events to an applier.
 func Watch(loop *gateway.Loop, engine *transport.Engine, log logrus.FieldLogger, addr string, applier *EventApplier,
 	position int64) *Client {
-	c := &Client{loop: loop, engine: engine, log: log, addr: addr, applier: applier, position: position, backoff: minBackoff}
+	c := &Client{loop: loop, dial: engine.Dial, log: log, addr: addr, applier: applier, position: position, backoff: minBackoff}
+	c.start()
+	return c
+}
+
+func (c *Client) start() {
 	c.connect()
 	c.checkSilence()
-	return c
 }
 
 // SetAddress goes on at another address, behind the latest event taken in. The connection to the old one ends at once.
@@ -72,27 +80,30 @@
 // Connected reports whether there is a connection to the service.
 func (c *Client) Connected() bool { return c.current != nil && c.current.tc != nil }
 
-// connect begins a connection.
+// connect begins a connection. Those that were begun before and are coming up still may take its place.
 func (c *Client) connect() {
-	s := &stream{client: c}
+	s := &stream{client: c, addr: c.addr}
 	c.current, c.lastByte = s, c.loop.Now()
 	c.Connects++
-	c.engine.Dial(c.addr, connectTimeout, s,
-		func(tc *transport.Conn) {
-			c.loop.Post(func() {
-				if c.current != s {
-					tc.Close(errReplaced)
-					return
-				}
-				s.tc, c.lastByte = tc, c.loop.Now()
-				_ = tc.Write([]byte("GET /journal HTTP/1.1\r\nHost: " + c.addr +
-					"\r\nAccept: text/event-stream\r\nCache-Control: no-cache\r\nLast-Event-ID: " +
-					strconv.FormatInt(c.position, 10) + "\r\n\r\n"))
-			})
-		},
+	c.dial(c.addr, maxConnectTime, s,
+		func(tc *transport.Conn) { c.loop.Post(func() { c.connected(s, tc) }) },
 		func(err error) { c.loop.Post(func() { c.reconnect(s, err) }) })
 }
 
+// connected asks for the events on a connection that came up: the first one does, whichever was begun first.
+func (c *Client) connected(s *stream, tc *transport.Conn) {
+	if c.Connected() || s.addr != c.addr || s.closed {
+		tc.Close(errReplaced)
+		return
+	}
+	c.reconnectTimer.Stop()
+	c.current = s
+	s.tc, c.lastByte = tc, c.loop.Now()
+	_ = tc.Write([]byte("GET /journal HTTP/1.1\r\nHost: " + c.addr +
+		"\r\nAccept: text/event-stream\r\nCache-Control: no-cache\r\nLast-Event-ID: " +
+		strconv.FormatInt(c.position, 10) + "\r\n\r\n"))
+}
+
 // checkSilence gives up a connection that did not come up or has fallen silent, again and again.
 func (c *Client) checkSilence() {
 	if s := c.current; s != nil {
--- a/internal/net/discovery/stream.go
+++ b/internal/net/discovery/stream.go
@@ -11,7 +11,9 @@
 // stream is one connection to the service.
 type stream struct {
 	client *Client
+	addr   string          // of the service
 	tc     *transport.Conn // the loop's; nil: it is coming up
+	closed bool            // the loop's
 	parser responseParser  // the poller's
 }
 
@@ -40,7 +42,10 @@
 	if err == nil {
 		err = errClosed
 	}
-	s.client.loop.Post(func() { s.client.reconnect(s, err) })
+	s.client.loop.Post(func() {
+		s.closed = true
+		s.client.reconnect(s, err)
+	})
 }
 
 // handleEvents takes in what a connection has brought at a time, unless another one has taken its place.
