A pause in the middle of a round of the loop is noticed before any timer runs behind it

What callers saw: after the host had stood still for 0.3 s, endpoints whose answers lay unread in the sockets were taken for silent, up to ten of their attempts were given up and sent elsewhere again; all requests were served. Cause: the loop looked for a pause once a round, before what was posted. A pause that begins within the round, in posted work, in a timer or in queued work, was not seen there: the clock was read anew, and the timers that were due by it ran at once. A program beside busy processes waits for its processor just where it has work, which is why it came beside load alone. Neither log nor counters told a late look from slow stores, so the loop counts timers that ran over 30 ms late though they were not at its latest look (loop_late_timers, kept). TestAPauseWithinARoundIsNoticed and TestNothingBeginsBehindAPauseWithinARound make the pause come there and failed before. Change: wherever the loop reads its clock within a round, and over 30 ms have passed since the latest look, it looks again; a pause holds timers and queued work until what came meanwhile has been read, as at the beginning of a round.

--- a/cmd/larchusher/counters.go
+++ b/cmd/larchusher/counters.go
@@ -51,6 +51,7 @@
 		count("bytes_out", "Bytes written.", p.engine.Out.Load()),
 		count("malformed", "Connections closed for what they sent.", p.front.Malformed),
 		count("excess", "Requests beyond those that a connection may have open.", p.front.TooManyOpen),
+		count("loop_late_timers", "Timers that ran late without a look for a pause.", p.loop.LateTimers),
 		count("reloads", "Configurations taken in while running.", uint64(p.reloads)),
 	}
 }
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -27,6 +27,10 @@
 	runQueued   func() (more bool)              // runs one piece of queued work; nil: there is none
 	onLateTimer func(late time.Duration) bool   // told of late timers, it reports whether they are to be held for a moment
 	onDelay     func(sincePosted time.Duration) // told how long what was posted waited
+
+	checkedAt time.Time // when late timers were last looked for
+
+	LateTimers uint64 // timers that ran late, though they were not late at the latest look
 }
 
 const (
@@ -142,6 +146,7 @@
 // checkLateTimer tells onLateTimer of a timer that is late, before anything else is done in a round: all that follows must
 // know whether the program was paused.
 func (l *Loop) checkLateTimer() {
+	l.checkedAt = l.now
 	if len(l.timers) == 0 || l.onLateTimer == nil || !l.timersHeldUntil.IsZero() {
 		return
 	}
@@ -151,14 +156,23 @@
 	}
 }
 
+// readClock reads the clock within a round. A pause may come there as well: a program that is kept from its processor is so most
+// often where it has work. What follows must know of it.
+func (l *Loop) readClock() {
+	l.now = time.Now()
+	if l.now.Sub(l.checkedAt) > lateTimerThreshold {
+		l.checkLateTimer()
+	}
+}
+
 // runPosted runs what was posted, in order.
 func (l *Loop) runPosted(batch []func()) {
 	for i, f := range batch {
-		l.now = time.Now()
+		l.readClock()
 		f()
 		batch[i] = nil
 	}
-	l.now = time.Now()
+	l.readClock()
 }
 
 // runTimers runs the timers that are due, unless they are held.
@@ -168,8 +182,11 @@
 	}
 	for l.timersHeldUntil.IsZero() && len(l.timers) > 0 && !l.timers[0].at.After(l.now) {
 		t := heap.Pop(&l.timers).(*Timer)
+		if l.now.Sub(t.at) > lateTimerThreshold && l.checkedAt.Sub(t.at) <= lateTimerThreshold {
+			l.LateTimers++
+		}
 		t.run()
-		l.now = time.Now()
+		l.readClock()
 	}
 }
 
@@ -182,7 +199,10 @@
 			return true
 		}
 		l.roundsDeferred = 0
-		l.now = time.Now()
+		l.readClock()
+		if !l.timersHeldUntil.IsZero() {
+			return true
+		}
 		more = l.runQueued()
 		if !more {
 			return false
--- a/gateway/loop_held_test.go
+++ b/gateway/loop_held_test.go
@@ -26,3 +26,59 @@
 		t.Error("the timer never ran")
 	}
 }
+
+// A pause may come in the middle of a round. The timers that were due behind it ran before anything knew of the pause, and before
+// what had come meanwhile was read: endpoints that had answered were taken for silent.
+func TestAPauseWithinARoundIsNoticed(t *testing.T) {
+	const pause = 3 * lateTimerThreshold
+	for name, begin := range map[string]func(*Loop, func()){
+		"in what was posted": func(l *Loop, sleep func()) { l.Post(sleep) },
+		"in a timer":         func(l *Loop, sleep func()) { l.After(0, sleep) },
+		"in queued work": func(l *Loop, sleep func()) {
+			l.runQueued = func() bool { sleep(); l.runQueued = nil; return false }
+		},
+	} {
+		l := NewLoop()
+		paused, asked, released := false, false, false
+		begin(l, func() { paused = true; time.Sleep(pause) })
+		l.onLateTimer = func(time.Duration) bool {
+			if !paused || asked {
+				return false
+			}
+			asked = true
+			go l.Post(func() { released = true; l.releaseTimers() })
+			return true
+		}
+		l.After(10*time.Millisecond, func() {
+			if !asked || !released {
+				t.Errorf("%s: a late timer ran: asked %v, released %v", name, asked, released)
+			}
+			l.Close()
+		})
+		l.Run()
+	}
+}
+
+// Queued work that was begun after a pause in the same round would be a request whose client may have left meanwhile.
+func TestNothingBeginsBehindAPauseWithinARound(t *testing.T) {
+	l := NewLoop()
+	began, asked := 0, false
+	l.runQueued = func() bool {
+		if began++; began == 1 {
+			time.Sleep(3 * lateTimerThreshold)
+		} else if !asked {
+			t.Error("queued work began before anything knew of the pause")
+		}
+		if began == 2 {
+			l.Close()
+		}
+		return true
+	}
+	l.onLateTimer = func(time.Duration) bool {
+		asked = true
+		go l.Post(l.releaseTimers)
+		return true
+	}
+	l.After(10*time.Millisecond, func() {})
+	l.Run()
+}
