An answer cut anywhere is tried over both protocols; the testbed tells how long a program waited for a core

Change: TestAnAnswerCutAnywhereIsNotSentAgain cuts after each byte, over RPC and HTTP. Usage.Waited adds up schedstat over the threads.

--- a/client/delivery_test.go
+++ b/client/delivery_test.go
@@ -161,6 +161,31 @@
 	}
 }
 
+// An answer that is cut after any of its bytes says that the request has run, or may have.
+func TestAnAnswerCutAnywhereIsNotSentAgain(t *testing.T) {
+	for _, w := range wires() {
+		for cut := 1; ; cut++ {
+			whole := make(chan int, 1)
+			s := startStandIn(t, func(s *standIn, conn *net.TCPConn) {
+				if answer, err := s.receive(conn, w.reader(conn)); err == nil {
+					whole <- len(answer)
+					_, _ = io.WriteString(conn, answer[:min(cut, len(answer))]) // the client may have gone
+				}
+			})
+			err := do(t, deliveryClient(t, s.addr, w.transport()), "pay")
+			if cut >= <-whole {
+				if err != nil {
+					t.Errorf("%s, answered: %v", w.name, err)
+				}
+				break
+			}
+			if n := s.received.Load(); !errors.Is(err, ErrUnknown) || n != 1 {
+				t.Errorf("%s, cut after %d bytes: received %d times, %v", w.name, cut, n, err)
+			}
+		}
+	}
+}
+
 // On a connection that was used before, net/http sent a request again by itself, also one that may not run twice, and the planner's
 // counters did not know.
 func TestNothingIsReplayedBehindThePlanner(t *testing.T) {
--- a/lab/testbed/process.go
+++ b/lab/testbed/process.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"runtime"
 	"strconv"
 	"strings"
@@ -175,6 +176,8 @@
 	CPU    time.Duration
 	PeakKB int // most memory held so far
 	NowKB  int
+	// Waited is how long its threads were ready to run and another process had the core.
+	Waited time.Duration
 }
 
 // Usage reads what the program has used so far.
@@ -201,7 +204,29 @@
 		sys, _ := strconv.Atoi(f[12])
 		u.CPU = time.Duration(user+sys) * 10 * time.Millisecond // ticks of USER_HZ, which is 100
 	}
-	return u, nil
+	u.Waited, err = waitedForCore(dir)
+	return u, err
+}
+
+// waitedForCore adds up, over a process's threads, how long each was ready to run and did not (the second field of schedstat,
+// in nanoseconds).
+func waitedForCore(dir string) (total time.Duration, err error) {
+	threads, err := filepath.Glob(dir + "task/*/schedstat")
+	if err != nil {
+		return 0, err
+	}
+	for _, path := range threads {
+		line, err := os.ReadFile(path)
+		if err != nil { // the thread has ended
+			continue
+		}
+		var running, waiting int64
+		if _, err := fmt.Sscan(string(line), &running, &waiting); err != nil {
+			return 0, fmt.Errorf("reading %s: %w", path, err)
+		}
+		total += time.Duration(waiting)
+	}
+	return total, nil
 }
 
 // Stop kills the program, if it runs, and waits for its end. It may be called twice.
