--- a/client/delivery_test.go
+++ b/client/delivery_test.go
@@ -118,9 +118,9 @@
 	}
 }
 
-func deliveryClient(t *testing.T, addr string, transport Transport, gateways ...string) *Client {
+func deliveryClient(t *testing.T, addr string, transport Transport) *Client {
 	t.Helper()
-	c, err := New(Config{Gateways: append([]string{addr}, gateways...), Transport: transport, Seed: 1, Classes: []Class{
+	c, err := New(Config{Gateways: []string{addr}, Transport: transport, Seed: 1, Classes: []Class{
 		{Name: "pay", Effect: Unsafe}, {Name: "turn", Effect: Keyed, Window: 3 * time.Second}, {Name: "image"}}})
 	if err != nil {
 		t.Fatal(err)
