Client and loop: names and order of two structs

Cause: mayHave and endIsRead need their comments to be understood; a field stood apart from its like. Change: what is known at an orderly end is a type of its own, peerEnd. No behaviour. Result: the linter has no finding; the tests of client and gateway pass.

--- a/client/delivery.go
+++ b/client/delivery.go
@@ -19,11 +19,15 @@
 	net.Conn
 	acks *ackReader // nil: nothing is known of arrivals
 
-	mu        sync.Mutex
-	written   uint64 // bytes that were given to the kernel, or may have been
-	ended     bool   // the other end has closed in order,
-	mayHave   uint64 // and by then so many bytes may have arrived,
-	endIsRead bool   // if that could be read
+	mu      sync.Mutex
+	written uint64   // bytes that were given to the kernel, or may have been
+	end     *peerEnd // nil: the other end has not closed in order
+}
+
+// peerEnd is what is known of a connection when its orderly end is read.
+type peerEnd struct {
+	arrivedBytes  uint64 // that may have reached the program at the other end
+	arrivalsKnown bool   // else arrivedBytes says nothing
 }
 
 // newDeliveryConn wraps a connection on which nothing was written yet.
@@ -45,8 +49,8 @@
 	acknowledged, known := c.acks.acknowledged()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.ended { // what is acknowledged later may come from a kernel that discards it
-		c.ended, c.mayHave, c.endIsRead = true, acknowledged, known
+	if c.end == nil { // what is acknowledged later may come from a kernel that discards it
+		c.end = &peerEnd{arrivedBytes: acknowledged, arrivalsKnown: known}
 	}
 }
 
@@ -75,5 +79,8 @@
 	if c.written <= offset { // nothing of it was written
 		return false
 	}
-	return !c.ended || !c.endIsRead || c.mayHave > offset
+	if c.end == nil || !c.end.arrivalsKnown {
+		return true
+	}
+	return c.end.arrivedBytes > offset
 }
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -23,13 +23,12 @@
 	order           uint64    // of the latest timer that was set
 	timersHeldUntil time.Time // zero: they are not held
 	roundsDeferred  int       // rounds in a row in which queued work gave way to what was posted
+	checkedAt       time.Time // when late timers were last looked for
 
 	runQueued   func() (more bool)              // runs one piece of queued work; nil: there is none
 	onLateTimer func(late time.Duration) bool   // told of late timers, it reports whether they are to be held for a moment
 	onDelay     func(sincePosted time.Duration) // told how long what was posted waited
 
-	checkedAt time.Time // when late timers were last looked for
-
 	LateTimers uint64 // timers that ran late, though they were not late at the latest look
 }
 
