--- a/review/1/main.go
+++ b/review/1/main.go
@@ -24,7 +24,7 @@
 	d := c.NewDeployment(4)
 	for _, s := range d.Stores {
 		s.Handle(func(a *rig.Ask) {
-			if a.Fields["lane"] == "replay-video" {
+			if a.Fields["lane"] == "films" {
 				time.Sleep(700 * time.Millisecond)
 				a.Done(video)
 				return
@@ -38,14 +38,14 @@
 	k := c.Connect("client", d.Listen, 0)
 	k.Alive()
 	for range 3 {
-		c.CheckAnswered(k.Send("game-assets", rig.Hex(8), 2500*time.Millisecond, ""), lateFor)
+		c.CheckAnswered(k.Send("images", rig.Hex(8), 2500*time.Millisecond, ""), lateFor)
 	}
 	if c.Trouble {
 		c.StartGateway("new", d.Config, d.Tmp).AwaitReady(6 * time.Second)
 	}
 	var sent []*rig.Request
 	for range 2 {
-		sent = append(sent, k.Send("replay-video", rig.Hex(8), 5*time.Second, ""))
+		sent = append(sent, k.Send("films", rig.Hex(8), 5*time.Second, ""))
 	}
 	time.Sleep(50 * time.Millisecond)
 	if c.Trouble {
@@ -54,7 +54,7 @@
 	}
 	time.Sleep(100 * time.Millisecond)
 	for range 2 {
-		sent = append(sent, k.Send("turn-submit", rig.Hex(8), 3*time.Second, strings.Repeat("x", order), "unique", rig.Hex(16)))
+		sent = append(sent, k.Send("orders", rig.Hex(8), 3*time.Second, strings.Repeat("x", order), "unique", rig.Hex(16)))
 	}
 	for _, q := range sent {
 		c.CheckAnswered(q, lateFor)
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -57,7 +57,7 @@
 	d := c.NewDeployment(4)
 	full := rig.Settings(nil)
 	classes := full["classes"].([]any)
-	first := rig.Settings(func(s map[string]any) { // without turn-submit
+	first := rig.Settings(func(s map[string]any) { // without orders
 		s["classes"] = classes[:2]
 		info := s["familyInfo"].(map[string]any)
 		for _, byClass := range []string{"inPieces", "lifetimeByClassMs", "neverKept", "oldCopyWorth", "staleForMs"} {
@@ -77,7 +77,7 @@
 	k := c.Connect("client", d.Listen, 0)
 	k.Alive()
 	ask := func() {
-		c.CheckAnswered(k.Send("game-assets", s.object, 2500*time.Millisecond, ""), 500*time.Millisecond)
+		c.CheckAnswered(k.Send("images", s.object, 2500*time.Millisecond, ""), 500*time.Millisecond)
 	}
 	ask()
 	time.Sleep(2 * time.Second)
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -18,7 +18,7 @@
 	d := c.NewDeployment(8)
 	for _, s := range d.Stores {
 		s.Handle(func(a *rig.Ask) {
-			if a.Fields["lane"] == "replay-video" {
+			if a.Fields["lane"] == "films" {
 				time.Sleep(2800 * time.Millisecond)
 			} else {
 				time.Sleep(40 * time.Millisecond)
@@ -31,12 +31,12 @@
 	k := c.Connect("client", d.Listen, 0)
 	k.Alive()
 	for range 3 {
-		c.CheckAnswered(k.Send("game-assets", rig.Hex(8), 2500*time.Millisecond, ""), lateFor)
+		c.CheckAnswered(k.Send("images", rig.Hex(8), 2500*time.Millisecond, ""), lateFor)
 	}
 	if c.Trouble {
 		c.StartGateway("new", d.Config, d.Tmp).AwaitReady(6 * time.Second)
 	}
-	sent := []*rig.Request{k.Send("replay-video", rig.Hex(8), 5*time.Second, "")}
+	sent := []*rig.Request{k.Send("films", rig.Hex(8), 5*time.Second, "")}
 	time.Sleep(50 * time.Millisecond)
 	if c.Trouble {
 		old.Signal(syscall.SIGTERM)
@@ -44,8 +44,8 @@
 	}
 	for range 3 {
 		time.Sleep(100 * time.Millisecond)
-		sent = append(sent, k.Send("game-assets", rig.Hex(8), 1250*time.Millisecond, ""))
-		sent = append(sent, k.Send("turn-submit", rig.Hex(8), 1500*time.Millisecond, "order", "unique", rig.Hex(16)))
+		sent = append(sent, k.Send("images", rig.Hex(8), 1250*time.Millisecond, ""))
+		sent = append(sent, k.Send("orders", rig.Hex(8), 1500*time.Millisecond, "order", "unique", rig.Hex(16)))
 	}
 	for _, q := range sent[1:] {
 		c.CheckAnswered(q, lateFor)
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -226,12 +226,12 @@
 // Settings returns the settings object of a small deployment: one location with one gateway, caches, a parent and the
 // origin. change may alter it.
 func Settings(change func(map[string]any)) map[string]any {
-	const text = `{"balancers":1,"position":0,"dcs":["north","edge-1"],"zone":"edge-1","stepMs":2,"tier":0,"layers":["edge-cache"],
+	const text = `{"balancers":1,"position":0,"dcs":["north","edge-1"],"zone":"edge-1","stepMs":2,"tier":0,"layers":["caches"],
  "callers":{"marksRetry":true},"countedBy":"request","family":"edge",
- "classes":[{"name":"replay-video","aimMs":500,"aimStretch":2,"hardLimitMs":5000,"effect":"repeatable","dedupScope":"all","repeatWindowMs":5000,"value":2,"lateWorth":0.15,"streaming":false},
-  {"name":"game-assets","aimMs":400,"aimStretch":2,"hardLimitMs":2500,"effect":"repeatable","dedupScope":"all","repeatWindowMs":5000,"value":1,"lateWorth":0.2,"streaming":false},
-  {"name":"turn-submit","aimMs":600,"hardLimitMs":3000,"effect":"by_key","dedupScope":"all","repeatWindowMs":3000,"value":3,"lateWorth":0,"streaming":false}],
- "flavors":["small-4to7","parent","origin"],"discovery":"push","weightSource":"off",
+ "classes":[{"name":"films","aimMs":500,"aimStretch":2,"hardLimitMs":5000,"effect":"repeatable","dedupScope":"all","repeatWindowMs":5000,"value":2,"lateWorth":0.15,"streaming":false},
+  {"name":"images","aimMs":400,"aimStretch":2,"hardLimitMs":2500,"effect":"repeatable","dedupScope":"all","repeatWindowMs":5000,"value":1,"lateWorth":0.2,"streaming":false},
+  {"name":"orders","aimMs":600,"hardLimitMs":3000,"effect":"by_key","dedupScope":"all","repeatWindowMs":3000,"value":3,"lateWorth":0,"streaming":false}],
+ "flavors":["box","parent","origin"],"discovery":"push","weightSource":"off",
  "familyInfo":{"countByZone":[0,1],"homeHub":[0,0],"inPieces":[true,false,false],"inletCost":0.06,"joins":true,"lifetimeByClassMs":[0,0,0],
   "mayPassBy":false,"neighbours":"any","neverKept":[false,false,true],"noticeTimeMs":1000,"oldCopyWorth":[0.7,0.7,0.7],"originFallMs":3000,
   "originFallMultiple":0,"parentColdFrom":0.083,"parentColdMs":22000,"purgeSettlesMs":6000,"rootKind":2,"says":"hit","shieldKind":1,
@@ -268,7 +268,7 @@
 	d := &Deployment{Stores: map[string]*Store{}, c: c, Listen: FreeAddr(c), Config: filepath.Join(c.Dir, "config.json"), Tmp: filepath.Join(c.Dir, "t"),
 		Limits: map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}}
 	for i := range caches {
-		d.add(fmt.Sprintf("c%d", i+1), "small-4to7", "edge-1")
+		d.add(fmt.Sprintf("c%d", i+1), "box", "edge-1")
 	}
 	d.add("p", "parent", "north")
 	d.add("o", "origin", "north")
--- a/review/tried/main.go
+++ b/review/tried/main.go
@@ -54,7 +54,7 @@
 		if q.Answers > 1 {
 			t.Break("%s %s has got %d answers", q.Class, q.Txn, q.Answers)
 		}
-		if n := t.sends[q.Txn]; q.Class == "turn-submit" && n > 1 {
+		if n := t.sends[q.Txn]; q.Class == "orders" && n > 1 {
 			t.Log("%s %s was sent %d times", q.Class, q.Txn, n)
 		}
 		t.mu.Unlock()
@@ -68,7 +68,7 @@
 	t.sends[a.ID]++
 	t.mu.Unlock()
 	switch a.Fields["lane"] {
-	case "turn-submit":
+	case "orders":
 		time.Sleep(1500 * time.Millisecond)
 	case "swing":
 		time.Sleep(900 * time.Millisecond)
@@ -86,7 +86,7 @@
 	t.old.AwaitReady(30 * time.Second)
 	t.k = t.Connect("client", t.d.Listen, 0)
 	t.k.Alive()
-	<-t.ask("game-assets", 2500*time.Millisecond).Done
+	<-t.ask("images", 2500*time.Millisecond).Done
 }
 
 // upgrade sends SIGTERM to the old process.
@@ -97,7 +97,7 @@
 
 func (t *trial) ask(class string, limit time.Duration) *rig.Request {
 	var more []string
-	if class == "turn-submit" {
+	if class == "orders" {
 		more = []string{"unique", rig.Hex(16)}
 	}
 	q := t.k.Send(class, rig.Hex(8), limit, "", more...)
@@ -118,13 +118,13 @@
 	t.start()
 	t.StartGateway("new", t.d.Config, t.d.Tmp).AwaitReady(6 * time.Second)
 	for range 10 {
-		t.ask("turn-submit", 3*time.Second)
+		t.ask("orders", 3*time.Second)
 	}
 	time.Sleep(700 * time.Millisecond)
 	t.upgrade()
 	for range 15 {
 		time.Sleep(200 * time.Millisecond)
-		t.ask("game-assets", 2500*time.Millisecond)
+		t.ask("images", 2500*time.Millisecond)
 	}
 }
 
@@ -138,16 +138,16 @@
 			t.d.WriteConfig(withClass("extra"+strconv.Itoa(i%4), "once", 2500))
 		}
 		t.old.Signal(syscall.SIGHUP)
-		t.ask("game-assets", 2500*time.Millisecond)
+		t.ask("images", 2500*time.Millisecond)
 		if i%8 == 0 {
-			t.ask("turn-submit", 3*time.Second)
+			t.ask("orders", 3*time.Second)
 		}
 		time.Sleep(time.Duration(rand.IntN(30)) * time.Millisecond)
 	}
 	t.old.Signal(syscall.SIGHUP)
 	t.upgrade()
 	for range 5 {
-		t.ask("game-assets", 1500*time.Millisecond)
+		t.ask("images", 1500*time.Millisecond)
 		time.Sleep(80 * time.Millisecond)
 	}
 }
@@ -202,7 +202,7 @@
 	t.upgrade()
 	for range 40 {
 		time.Sleep(100 * time.Millisecond)
-		t.ask("game-assets", 2500*time.Millisecond)
+		t.ask("images", 2500*time.Millisecond)
 	}
 	if *late > 0 {
 		t.Break("%d requests were sent to c1 too late", *late)
@@ -217,7 +217,7 @@
 	next.Kill()
 	for i := range 30 {
 		time.Sleep(50 * time.Millisecond)
-		t.ask("game-assets", 2500*time.Millisecond)
+		t.ask("images", 2500*time.Millisecond)
 		if i%10 == 5 {
 			t.k = t.Connect("client", t.d.Listen, 0)
 		}
@@ -274,7 +274,7 @@
 	p.mu.Unlock()
 	for time.Since(p.at) < 5800*time.Millisecond {
 		time.Sleep(100 * time.Millisecond)
-		<-t.k.Send("game-assets", p.object, 2500*time.Millisecond, "").Done
+		<-t.k.Send("images", p.object, 2500*time.Millisecond, "").Done
 	}
 	if p.staleCount > 0 {
 		t.Break("%d requests were answered from a copy older than the purge", p.staleCount)
@@ -286,7 +286,7 @@
 	p := t.holdOldCopies()
 	t.start()
 	time.Sleep(1200 * time.Millisecond)
-	t.askPurged(p, func() { t.d.WriteConfig(withClass("maps", "repeatable", 2500)) }, func() {
+	t.askPurged(p, func() { t.d.WriteConfig(withClass("extra", "repeatable", 2500)) }, func() {
 		ms, _ := strconv.Atoi(os.Getenv("WAIT"))
 		time.Sleep(time.Duration(ms) * time.Millisecond)
 		t.old.Signal(syscall.SIGHUP)
@@ -314,7 +314,7 @@
 	t.start()
 	told = t.publishDrain()
 	for time.Since(told) < 15*time.Second {
-		<-t.ask("game-assets", 2500*time.Millisecond).Done
+		<-t.ask("images", 2500*time.Millisecond).Done
 		time.Sleep(50 * time.Millisecond)
 	}
 	if *late > 0 {
@@ -331,7 +331,7 @@
 	t.d.Limits = map[string]any{"cores": 1, "memory_mb": limit, "sockets": 1024}
 	t.d.WriteConfig(rig.Settings(nil))
 	t.start()
-	part := append([]byte{0x94, 0, 1, 0xab}, "turn-submit"...)
+	part := append([]byte{0x94, 0, 1, 0xa6}, "orders"...)
 	part = append(append(part, 0x92, 0x80, 0xc6, 0, 0, 0xbb, 0x80), make([]byte, 47_000)...) // of 48,000
 	stop := time.Now().Add(8 * time.Second)
 	for i := range 900 {
