--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -27,6 +27,10 @@
 	NotRun = 2 // the case could not run
 )
 
+// maxDirBytes is the longest path of a temporary folder: the gateway's processes keep Unix sockets there, whose paths have
+// 107 bytes at most.
+const maxDirBytes = 60
+
 // Case is one run of a case: its record, its temporary folder and the processes that it started.
 type Case struct {
 	Trouble bool   // whether the disruption takes place; TROUBLE=0 leaves it out
@@ -51,6 +55,10 @@
 	c := &Case{Trouble: os.Getenv("TROUBLE") != "0", Root: root, start: time.Now()}
 	if c.record, err = os.Create(filepath.Join(folder, "record.txt")); err == nil {
 		c.Dir, err = os.MkdirTemp("", "rv")
+		if err == nil && len(c.Dir) > maxDirBytes {
+			_ = os.Remove(c.Dir)
+			c.Dir, err = os.MkdirTemp("/tmp", "rv")
+		}
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
