Review: a loopback host of its own for the gateway of a case

The stand-ins took a port that had been found free for the gateway before it listened there: "address already in use", 2 of 1,689 starts.

Change: the gateway's addresses are on a loopback host of the run's own, and none is given out twice.

--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -223,12 +223,25 @@
 	})
 }
 
-// FreeAddr returns a loopback address with a port that is free now.
+// givenOut are the addresses that FreeAddr has returned.
+var givenOut = map[string]bool{}
+
+// FreeAddr returns an address for the gateway with a port that is free now, each time another one. Its loopback host
+// is the run's own, so that neither the stand-ins, which listen on 127.0.0.1, nor another run can take the port before
+// the gateway does.
 func FreeAddr(c *Case) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Check(err)
-	defer l.Close()
-	return l.Addr().String()
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 1+pid>>14&127, pid>>7&127, 1+pid&127)
+	for {
+		l, err := net.Listen("tcp", host+":0")
+		c.Check(err)
+		addr := l.Addr().String()
+		_ = l.Close()
+		if !givenOut[addr] {
+			givenOut[addr] = true
+			return addr
+		}
+	}
 }
 
 // Settings returns the settings object of a small deployment: one location with one gateway, caches, a parent and the
