Upgrade: input beyond its bound is handled here, and reading goes on while answers are due

Callers saw: an upgrade while a client sends over 64 KiB on a connection with large answers due. The answers were cut after their beginning, what was sent reached no store and got no answer, and a cancel or close behind it went unseen until the process ended.

Cause: bufferInput called StopReading beyond 64 KiB, which took the descriptor out of epoll. nbio then asks for an event for the rest of an answer, and gets an error.

Change: input that does not fit into the buffer (64 KiB or 256 reads on a connection, a 32nd of the memory on all) is handled by the predecessor behind what is buffered. Reading is paused, by a flag that the poller heeds, only on a connection with nothing open or unsent, and the descriptor leaves the poller once the successor has it. If it cannot be sent, the connection is served here and closed when idle, where it was closed at once with its buffered input.

--- a/cmd/larchusher/predecessor.go
+++ b/cmd/larchusher/predecessor.go
@@ -64,8 +64,8 @@
 }
 
 // migrateToSuccessor shuts down in favour of the successor. This process stops accepting connections. Each connection to the
-// platform's front is handed over once no request is open on it, or closed if it cannot be handed over; each to the signed
-// front closes after its next answer.
+// platform's front is handed over once no request is open on it, or closed at that moment if it cannot be handed over; each to the
+// signed front closes after its next answer.
 func (p *program) migrateToSuccessor() {
 	p.log.Info(logfields.UpgradeMigratingClients)
 	for _, l := range p.listeners {
@@ -91,7 +91,7 @@
 	}
 	var left int
 	if p.successor != nil { // set once the handover has completed, which may have been only after the shutdown began
-		p.platformFront.BufferRequests()
+		p.platformFront.BufferRequests(int64(p.memoryFraction(migratingInputDivisor)))
 		left = p.platformFront.MigrateIdle(p.migrateConn)
 	} else {
 		left = p.platformFront.CloseIdle()
--- a/cmd/larchusher/start.go
+++ b/cmd/larchusher/start.go
@@ -16,10 +16,11 @@
 
 // Divisors of the memory limit that yield the bounds of queues and buffers.
 const (
-	unwrittenDivisor       = 4 // bytes queued to be written to sockets
-	bodiesDivisor          = 6 // bodies of open requests
-	unreadAnswersDivisor   = 5 // answers that clients have not read; overload.answers_mb of the operator's file overrides it
-	endpointAnswersDivisor = 8 // answers that are being received from endpoints
+	unwrittenDivisor       = 4  // bytes queued to be written to sockets
+	bodiesDivisor          = 6  // bodies of open requests
+	unreadAnswersDivisor   = 5  // answers that clients have not read; overload.answers_mb of the operator's file overrides it
+	endpointAnswersDivisor = 8  // answers that are being received from endpoints
+	migratingInputDivisor  = 32 // input that is buffered for the successor process
 )
 
 // start creates the parts of the program in the order of their dependencies, and opens all listeners. It is called before the loop
--- a/internal/logfields/events.go
+++ b/internal/logfields/events.go
@@ -38,7 +38,7 @@
 	EndpointAnswerUnreadable = "endpoint answer unreadable"                // an endpoint violated the protocol: its connection is closed
 	ConnTakeoverFailed       = "connection takeover failed"                // an accepted or queued connection could not be served: it is closed
 	ConnRegisterFailed       = "connection not registered with the poller" // the poller did not accept a connection
-	ConnMigrationFailed      = "connection migration failed"               // a connection could not be handed over to the successor: it is closed
+	ConnMigrationFailed      = "connection migration failed"               // a connection could not be handed over to the successor: it is served here, and closed once idle
 	PollerBarrierFailed      = "poller barrier failed"                     // the poller could not be woken for a barrier
 	PollerLibraryReported    = "poller library"                            // a warning or error of the poller's library
 )
--- a/internal/net/msgpackrpc/batch.go
+++ b/internal/net/msgpackrpc/batch.go
@@ -17,13 +17,18 @@
 	err        error  // closes the connection
 }
 
-// OnBytes splits the input into messages and posts them to the loop. A request's time limit counts from at, the time
-// at which its last byte arrived. Requests that are shed are rejected here, on the poller goroutine, and cost the
-// loop nothing.
+// OnBytes handles the input of one read. Input for the successor process is buffered. A request's time limit counts from
+// at, the time at which its last byte arrived.
 func (c *conn) OnBytes(tc *transport.Conn, b []byte, at time.Time) error {
-	if c.front.buffering.Load() {
+	if c.buffersInput() {
 		return c.bufferInput(tc, b, at)
 	}
+	return c.handleInput(tc, b, at)
+}
+
+// handleInput splits input into messages and posts them to the loop. Requests that are shed are rejected here, on the
+// poller goroutine, and cost the loop nothing.
+func (c *conn) handleInput(tc *transport.Conn, b []byte, at time.Time) error {
 	if len(c.buf) > 0 {
 		c.buf = append(c.buf, b...)
 		b = c.buf
--- /dev/null
+++ b/internal/net/msgpackrpc/buffering.go
@@ -0,0 +1,114 @@
+package msgpackrpc
+
+import (
+	"slices"
+	"time"
+
+	"larchusher/internal/net/transport"
+)
+
+// While a successor process takes over (see migration.go), the input of a connection is buffered, so that the connection
+// falls idle and can migrate together with that input. Input that does not fit into the buffer is handled by this
+// process, behind everything that is buffered. Reading never stops while requests are open: the poller must write their
+// answers, and see a cancel or the end of the connection.
+
+// Limits of the input buffered on one connection. What is within them fits into one packet to the successor.
+const (
+	maxBufferedBytes  = 64 << 10 // including an incomplete message from before
+	maxBufferedChunks = 256
+)
+
+// bufferedChunk is buffered input that was read at one time.
+type bufferedChunk struct {
+	size int // bytes
+	at   time.Time
+}
+
+// BufferRequests stops the handling of new requests. Their input is buffered until the connection migrates, up to
+// maxBytes on all connections together. It may be called from any goroutine.
+func (f *Front) BufferRequests(maxBytes int64) {
+	f.maxBufferedBytes.Store(maxBytes)
+	f.buffering.Store(true)
+}
+
+// buffersInput reports whether new input is buffered for the successor.
+func (c *conn) buffersInput() bool { return c.front.buffering.Load() && !c.migrationFailed.Load() }
+
+// bufferInput buffers input for the successor and executes the cancel messages in it. If there is no room for it, this
+// process handles all input of the connection that it has. It runs on the poller goroutine.
+func (c *conn) bufferInput(tc *transport.Conn, b []byte, at time.Time) error {
+	if !c.reserveBuffer(len(b)) {
+		if err := c.handleBuffered(tc); err != nil {
+			return err
+		}
+		return c.handleInput(tc, b, at)
+	}
+	c.bufferedChunks = append(c.bufferedChunks, bufferedChunk{size: len(b), at: at})
+	c.buf = append(c.buf, b...)
+	if cancels := c.scanCancels(); len(cancels) > 0 {
+		c.post(tc, &batch{messages: cancels})
+	}
+	return nil
+}
+
+// reserveBuffer reserves n bytes for input to be buffered, and reports whether they are within all limits. It runs on
+// the poller goroutine.
+func (c *conn) reserveBuffer(n int) bool {
+	if len(c.buf)+n > maxBufferedBytes || len(c.bufferedChunks) >= maxBufferedChunks {
+		return false
+	}
+	f := c.front
+	if f.bufferedBytes.Add(int64(n)) > f.maxBufferedBytes.Load() {
+		f.bufferedBytes.Add(int64(-n))
+		return false
+	}
+	c.bufferedBytes.Add(int64(n))
+	return true
+}
+
+// releaseBuffer releases all bytes that reserveBuffer has reserved for the connection.
+func (c *conn) releaseBuffer() { c.front.bufferedBytes.Add(-c.bufferedBytes.Swap(0)) }
+
+// handleBuffered handles the buffered input in this process. It runs on the poller goroutine.
+func (c *conn) handleBuffered(tc *transport.Conn) error {
+	before, input := c.splitBuffer()
+	chunks := c.bufferedChunks
+	c.buf = slices.Clone(before)
+	c.bufferedChunks, c.scannedBytes = nil, 0
+	c.releaseBuffer()
+	for _, chunk := range chunks {
+		if err := c.handleInput(tc, input[:chunk.size], chunk.at); err != nil {
+			return err
+		}
+		input = input[chunk.size:]
+	}
+	return nil
+}
+
+// splitBuffer splits buf into the incomplete message from before buffering began, and the buffered input.
+func (c *conn) splitBuffer() (before, input []byte) {
+	size := 0
+	for _, chunk := range c.bufferedChunks {
+		size += chunk.size
+	}
+	start := len(c.buf) - size
+	return c.buf[:start], c.buf[start:]
+}
+
+// scanCancels returns the cancel messages in the buffered input that it has not searched yet. Incomplete and
+// malformed messages are left to the process that handles the input.
+func (c *conn) scanCancels() (cancels []clientMessage) {
+	for rest := c.buf[c.scannedBytes:]; len(rest) > 0; {
+		m, after, incomplete, err := nextMessage(rest)
+		if incomplete || err != nil {
+			break
+		}
+		if m.isCancel() {
+			c.pendingCancels.add(m.number)
+			cancels = append(cancels, clientMessage{kind: cancelMessage, id: m.number})
+		}
+		c.scannedBytes += len(rest) - len(after)
+		rest = after
+	}
+	return cancels
+}
--- a/internal/net/msgpackrpc/conn.go
+++ b/internal/net/msgpackrpc/conn.go
@@ -13,23 +13,26 @@
 	front *Front
 
 	// Used by the poller only.
-	buf           []byte                    // an incomplete message, followed by a copy of bufferedInput
-	partial       bool                      // the latest batch ended with an incomplete message
-	bufferedInput []transport.ReceivedChunk // input since Front.BufferRequests, for the successor process
-	scannedBytes  int                       // bytes of buf already searched for cancel messages
+	buf            []byte          // an incomplete message, followed by the buffered input
+	partial        bool            // the latest batch ended with an incomplete message
+	bufferedChunks []bufferedChunk // sizes and arrival times of the input that is buffered for the successor process
+	scannedBytes   int             // bytes of buf already searched for cancel messages
 
 	// Used by the poller and the loop.
-	postedBatches  atomic.Int64 // batches that the loop has not handled yet
-	shedUncounted  atomic.Int64 // shed requests that the loop has not counted yet
-	pendingCancels pendingCancels
+	postedBatches   atomic.Int64 // batches that the loop has not handled yet
+	shedUncounted   atomic.Int64 // shed requests that the loop has not counted yet
+	bufferedBytes   atomic.Int64 // bytes buffered for the successor process
+	migrationFailed atomic.Bool  // the connection cannot migrate, so its input is handled here
+	pendingCancels  pendingCancels
 
 	// Used by the loop only.
-	tc       *transport.Conn
-	client   *gateway.Client
-	open     map[uint64]*gateway.Request // open requests by message ID
-	tracked  *transport.TrackedConn
-	closed   bool // the connection is closed
-	migrated bool // it was migrated to another process
+	tc        *transport.Conn
+	client    *gateway.Client
+	open      map[uint64]*gateway.Request // open requests by message ID
+	tracked   *transport.TrackedConn
+	closed    bool // the connection is closed
+	migrating bool // the poller was asked to pause reading, so that the connection can migrate
+	migrated  bool // it was migrated to another process
 }
 
 // idle reports whether no request is open and all input has been handled.
@@ -37,13 +40,23 @@
 	return len(c.open) == 0 && c.tc.InputDrained() && c.postedBatches.Load() == 0 && c.tracked.PartialSince.IsZero()
 }
 
-// busy reports whether requests are open, or may be in batches that the loop has not handled. It also counts the
-// requests shed since the last call as activity.
+// closeIfIdle closes the connection if it has no open requests or unhandled input, and reports whether it has. A request
+// that crosses the close must be resent by its client.
+func (c *conn) closeIfIdle() bool {
+	if !c.idle() {
+		return false
+	}
+	c.tc.CloseGracefully(errEnding, transport.LingerTime)
+	return true
+}
+
+// busy reports whether requests are open, or may be in batches that the loop has not handled or in buffered input. It
+// also counts the requests shed since the last call as activity.
 func (c *conn) busy() bool {
 	if n := c.shedUncounted.Swap(0); n > 0 && c.tracked != nil {
 		c.tracked.Received(c.front.loop.Now(), int(n), false)
 	}
-	return len(c.open) > 0 || c.postedBatches.Load() > 0
+	return len(c.open) > 0 || c.postedBatches.Load() > 0 || c.bufferedBytes.Load() > 0
 }
 
 // OnOpened registers the connection with the front, so that it is closed if it never sends a byte.
@@ -67,6 +80,7 @@
 		c.closed = true
 		delete(c.front.conns, c)
 		c.front.tracker.Remove(c.tracked)
+		c.releaseBuffer()
 		for id, r := range c.open {
 			delete(c.open, id)
 			c.front.gateway.Abandon(r)
--- a/internal/net/msgpackrpc/front.go
+++ b/internal/net/msgpackrpc/front.go
@@ -24,13 +24,16 @@
 
 // Front serves the platform's clients. Its methods must be called on the gateway's loop unless they state otherwise.
 type Front struct {
-	loop      *gateway.Loop
-	gateway   *gateway.Gateway
-	log       logrus.FieldLogger
-	conns     map[*conn]bool
-	tracker   *transport.ConnTracker
-	closed    bool        // set by CloseAll
-	buffering atomic.Bool // set by BufferRequests
+	loop    *gateway.Loop
+	gateway *gateway.Gateway
+	log     logrus.FieldLogger
+	conns   map[*conn]bool
+	tracker *transport.ConnTracker
+	closed  bool // set by CloseAll
+
+	buffering        atomic.Bool  // set by BufferRequests
+	maxBufferedBytes atomic.Int64 // limit of bufferedBytes
+	bufferedBytes    atomic.Int64 // bytes of input buffered for the successor process on all connections
 
 	classes atomic.Pointer[map[string]string] // class names, interned so that requests share the strings
 
@@ -84,14 +87,10 @@
 func (f *Front) SetMaxConns(maxConns int) { f.tracker.SetMaxConns(maxConns) }
 
 // CloseIdle closes all connections without open requests or unhandled input, and returns how many connections are
-// left. A request that crosses the close must be resent by its client.
+// left.
 func (f *Front) CloseIdle() (left int) {
 	for c := range f.conns {
-		switch {
-		case c.tc.Closing():
-		case c.idle():
-			c.tc.CloseGracefully(errEnding, transport.LingerTime)
-		default:
+		if !c.tc.Closing() && !c.closeIfIdle() {
 			left++
 		}
 	}
--- a/internal/net/msgpackrpc/migration.go
+++ b/internal/net/msgpackrpc/migration.go
@@ -1,107 +1,96 @@
 package msgpackrpc
 
 import (
-	"time"
-
 	"larchusher/internal/logfields"
 	"larchusher/internal/net/transport"
 )
 
-// A connection migrates to another process once no request is open on it. After BufferRequests the front handles no new
-// requests, so that this becomes possible: further input is buffered and migrates with the connection. Cancel
-// messages in it still take effect.
-
-// maxBufferedBytes limits the input buffered for the other process on one connection; more input stays in the kernel.
-const maxBufferedBytes = 64 << 10
+// A connection migrates to the successor process once no request is open on it and all answers have been written. The
+// loop decides that, pauses reading through the poller, and looks again: what the poller had read before the pause has
+// then reached the loop. The descriptor leaves the poller only once the successor has it.
 
-// BufferRequests stops the handling of new requests. Their input is buffered until the connection migrates. It may be
-// called from any goroutine.
-func (f *Front) BufferRequests() { f.buffering.Store(true) }
+// MigrateFunc sends a connection and its unhandled input to the successor.
+type MigrateFunc func(tc *transport.Conn, received []transport.ReceivedChunk) error
 
-// MigrateIdle passes each connection without open requests to migrate, together with its unhandled input, and returns
-// how many connections are left. A connection that migrate fails for is closed.
-func (f *Front) MigrateIdle(migrate func(tc *transport.Conn, received []transport.ReceivedChunk) error) (left int) {
+// MigrateIdle starts to migrate each connection without open requests, and returns how many connections have not
+// migrated yet. It is to be called repeatedly. A connection that cannot migrate is served here, and closed once it is
+// idle.
+func (f *Front) MigrateIdle(migrate MigrateFunc) (left int) {
 	for c := range f.conns {
 		if c.tc.Closing() || c.migrated {
 			continue
 		}
-		ready, err := c.prepareMigration()
-		if err == nil && !ready {
-			left++
-			continue
-		}
-		if err == nil {
-			err = migrate(c.tc, c.unhandledInput())
-		}
-		if err != nil {
-			f.log.WithError(err).Warn(logfields.ConnMigrationFailed)
-			c.tc.CloseGracefully(errEnding, transport.LingerTime)
-			continue
+		switch {
+		case c.migrationFailed.Load():
+			if c.closeIfIdle() {
+				continue
+			}
+		case c.canMigrate() && !c.migrating:
+			c.pauseAndMigrate(migrate)
 		}
-		c.migrated = true
+		left++
 	}
 	return left
 }
 
-// prepareMigration stops reading from a connection without open requests and reports whether it can migrate now. If
-// not, it must be called again.
-func (c *conn) prepareMigration() (ready bool, err error) {
-	if len(c.open) > 0 || c.postedBatches.Load() > 0 || c.tc.UnsentBytes() > 0 {
-		return false, nil
-	}
-	stopped, err := c.tc.StopReading()
-	// The poller may have posted a batch from a read that was in progress.
-	return stopped && c.postedBatches.Load() == 0, err
+// canMigrate reports whether no request is open and nothing waits to be handled or written.
+func (c *conn) canMigrate() bool {
+	return len(c.open) == 0 && c.postedBatches.Load() == 0 && c.tc.UnsentBytes() == 0 && !c.tc.SettingUp()
 }
 
-// unhandledInput returns the input that has been read and not handled. Reading must have stopped.
-func (c *conn) unhandledInput() (all []transport.ReceivedChunk) {
-	before := c.buf[:len(c.buf)-c.bufferedBytes()]
-	if len(before) > 0 {
-		// The beginning of a message. Its arrival time does not matter: a request's time limit counts from its last
-		// byte.
-		all = append(all, transport.ReceivedChunk{Data: before, At: c.front.loop.Now()})
-	}
-	return append(all, c.bufferedInput...)
+// pauseAndMigrate pauses reading and then migrates the connection if that is still possible.
+func (c *conn) pauseAndMigrate(migrate MigrateFunc) {
+	c.migrating = true
+	c.tc.RunOnPoller(func() {
+		c.tc.PauseReading()
+		c.front.loop.Post(func() {
+			c.migrating = false
+			c.migratePaused(migrate)
+		})
+	})
 }
 
-// bufferedBytes returns the size of bufferedInput in bytes.
-func (c *conn) bufferedBytes() (n int) {
-	for _, p := range c.bufferedInput {
-		n += len(p.Data)
+// migratePaused migrates the connection, of which nothing is read at present, or resumes reading.
+func (c *conn) migratePaused(migrate MigrateFunc) {
+	if c.closed || c.tc.Closing() || !c.canMigrate() {
+		c.tc.ResumeReading()
+		return
 	}
-	return n
-}
-
-// bufferInput buffers input for the other process and executes the cancel messages in it. It runs on the poller
-// goroutine.
-func (c *conn) bufferInput(tc *transport.Conn, b []byte, at time.Time) error {
-	c.bufferedInput = append(c.bufferedInput, transport.ReceivedChunk{Data: append([]byte(nil), b...), At: at})
-	c.buf = append(c.buf, b...)
-	if cancels := c.scanCancels(); len(cancels) > 0 {
-		c.post(tc, &batch{messages: cancels})
+	if err := migrate(c.tc, c.unhandledInput()); err != nil {
+		c.front.log.WithError(err).Warn(logfields.ConnMigrationFailed)
+		c.migrationFailed.Store(true)
+		c.handleBufferedSoon()
+		return
 	}
-	if len(c.buf) > maxBufferedBytes {
-		_, err := tc.StopReading()
-		return err
-	}
-	return nil
+	c.migrated = true
+	c.releaseBuffer()
 }
 
-// scanCancels returns the cancel messages in the buffered input that it has not searched yet. Incomplete and
-// malformed messages are left to the process that the connection migrates to.
-func (c *conn) scanCancels() (cancels []clientMessage) {
-	for rest := c.buf[c.scannedBytes:]; len(rest) > 0; {
-		m, after, incomplete, err := nextMessage(rest)
-		if incomplete || err != nil {
-			break
-		}
-		if m.isCancel() {
-			c.pendingCancels.add(m.number)
-			cancels = append(cancels, clientMessage{kind: cancelMessage, id: m.number})
+// handleBufferedSoon has the poller handle the buffered input in this process, and resumes reading. The connection does
+// not migrate before the loop has handled that input.
+func (c *conn) handleBufferedSoon() {
+	c.postedBatches.Add(1)
+	c.tc.RunOnPoller(func() {
+		err := c.handleBuffered(c.tc)
+		c.postedBatches.Add(-1)
+		c.tc.ResumeReading()
+		if err != nil {
+			c.tc.CloseGracefully(err, transport.LingerTime)
 		}
-		c.scannedBytes += len(rest) - len(after)
-		rest = after
+	})
+}
+
+// unhandledInput returns the input that has been read and not handled. Reading must be paused.
+func (c *conn) unhandledInput() (all []transport.ReceivedChunk) {
+	before, input := c.splitBuffer()
+	if len(before) > 0 {
+		// The beginning of a message. Its arrival time does not matter: a request's time limit counts from its last
+		// byte.
+		all = append(all, transport.ReceivedChunk{Data: before, At: c.front.loop.Now()})
+	}
+	for _, chunk := range c.bufferedChunks {
+		all = append(all, transport.ReceivedChunk{Data: input[:chunk.size], At: chunk.at})
+		input = input[chunk.size:]
 	}
-	return cancels
+	return all
 }
--- a/internal/net/transport/conn.go
+++ b/internal/net/transport/conn.go
@@ -41,7 +41,8 @@
 	ended      atomic.Bool // shut down by this side: input is discarded, writes fail
 	closed     atomic.Bool // the descriptor is closed
 	reading    atomic.Bool // the poller is passing input to the handler
-	stopped    atomic.Bool // no more input is read, see StopReading
+	paused     atomic.Bool // no input is read, see PauseReading
+	settingUp  atomic.Bool // the listener has not finished handing the connection to its handler
 	notifyOnce sync.Once   // makes OnClosed run once
 
 	discardedBytes int // bytes received after the shutdown; used by the poller only
--- a/internal/net/transport/detach.go
+++ b/internal/net/transport/detach.go
@@ -12,49 +12,52 @@
 	errNoPoller = errors.New("epoll descriptor of the poller not found")
 )
 
-// StopReading stops reading from the connection; later input stays in the kernel. It returns true once no input is
-// being passed to the handler, and must be called again until then. It is meant for a connection without unwritten
-// bytes that is about to be detached. It returns an error if the connection is closed or cannot be removed from the
-// poller.
-func (c *Conn) StopReading() (bool, error) {
-	if !c.stopped.Swap(true) {
-		if err := c.unregister(); err != nil {
-			return false, err
-		}
-	}
-	return !c.reading.Load(), nil
-}
+// RunOnPoller calls f on the poller goroutine, after the poller has passed on the input that had arrived before this
+// call. f must not block.
+func (c *Conn) RunOnPoller(f func()) { c.engine.Barrier(f) }
+
+// PauseReading makes the poller leave input in the kernel until ResumeReading. The poller goes on to write what waits to
+// be written, and to notice when the peer closes the connection. It must be called on the poller goroutine, so that no
+// input is being passed to the handler when it returns. The pause must be short: the poller does not sleep while input
+// waits on a paused connection.
+func (c *Conn) PauseReading() { c.paused.Store(true) }
+
+// ResumeReading ends a pause. It may be called from any goroutine.
+func (c *Conn) ResumeReading() { c.paused.Store(false) }
+
+// SettingUp reports whether the listener has not finished handing the connection to its handler. The connection must not
+// be paused or detached before.
+func (c *Conn) SettingUp() bool { return c.settingUp.Load() }
 
 // Detach passes the connection's descriptor to send, which transfers it to another process, and then closes the
-// connection here without notifying the peer. If send fails, the connection stays open but is no longer read, and the
-// error is returned.
+// connection here without notifying the peer. Reading must be paused, and no bytes may wait to be written. If send fails,
+// the connection stays as it was, and the error is returned.
 func (c *Conn) Detach(send func(descriptor int) error) error {
-	c.nc.Lock() // while it is locked, the descriptor cannot be closed and reused
-	closed, _ := c.nc.IsClosed()
-	err := errConnEnded
-	if !closed {
-		err = send(c.nc.Hash())
-	}
-	c.nc.Unlock()
-	if err == nil {
-		c.Close(errDetached)
-	}
-	return err
-}
-
-// unregister removes the connection from the poller. nbio (version 1.6.8) leaves that to the kernel, which does it
-// only once no process has the connection open any more.
-func (c *Conn) unregister() error {
 	poller, err := c.engine.poller.descriptor(c.engine)
 	if err != nil {
 		return err
 	}
+	if err := c.sendAndUnregister(poller, send); err != nil {
+		return err
+	}
+	c.Close(errDetached)
+	return nil
+}
+
+// sendAndUnregister passes the descriptor to send and then removes it from the poller. nbio (version 1.6.8) leaves that
+// to the kernel, which does it only once no process has the connection open any more.
+func (c *Conn) sendAndUnregister(poller int, send func(descriptor int) error) error {
 	c.nc.Lock() // while it is locked, the descriptor cannot be closed and reused
 	defer c.nc.Unlock()
 	if closed, _ := c.nc.IsClosed(); closed {
 		return errConnEnded
 	}
-	return unix.EpollCtl(poller, unix.EPOLL_CTL_DEL, c.nc.Hash(), nil)
+	descriptor := c.nc.Hash()
+	if err := send(descriptor); err != nil {
+		return err
+	}
+	_ = unix.EpollCtl(poller, unix.EPOLL_CTL_DEL, descriptor, nil) // fails only if it is not registered
+	return nil
 }
 
 // pollerDescriptor finds the epoll descriptor of the poller, which nbio does not expose: the one with which the
--- a/internal/net/transport/listener.go
+++ b/internal/net/transport/listener.go
@@ -154,10 +154,11 @@
 	}
 	h := l.newHandler()
 	c := l.engine.wrap(nc, h, l.slots.release)
+	c.settingUp.Store(true)
 	if o, ok := h.(OpenHandler); ok {
 		o.OnOpened(c)
 	}
-	c.stopped.Store(len(chunks) > 0) // nothing is read from the socket before the chunks are handled
+	c.paused.Store(len(chunks) > 0) // nothing is read from the socket before the chunks are handled
 	l.engine.add(c)
 	for _, p := range chunks {
 		if err := h.OnBytes(c, p.Data, p.At); err != nil {
@@ -165,7 +166,8 @@
 			break
 		}
 	}
-	c.stopped.Store(false)
+	c.paused.Store(false)
+	c.settingUp.Store(false)
 	if s, ok := h.(WriteReadyHandler); ok {
 		s.OnReady(c)
 	}
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -154,7 +154,7 @@
 	}
 	c.reading.Store(true)
 	defer c.reading.Store(false)
-	for i := 0; (i < maxReadsInRow || c.PeerClosed()) && !c.stopped.Load(); i++ {
+	for i := 0; (i < maxReadsInRow || c.PeerClosed()) && !c.paused.Load(); i++ {
 		n, err := nc.Read(e.buffer)
 		if n > 0 {
 			e.In.Add(uint64(n))
--- a/lab/fakeserver/store.go
+++ b/lab/fakeserver/store.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -136,6 +137,13 @@
 	return s, nil
 }
 
+// HasQuit reports whether a request was cancelled with QUIT. It must not be called with the store locked.
+func (s *Store) HasQuit(id string) bool {
+	s.Lock()
+	defer s.Unlock()
+	return slices.Contains(s.Quits, id)
+}
+
 // Close stops the store like a process that dies: its connections are reset.
 func (s *Store) Close() {
 	loopback.Close(s.Listener)
--- a/test/upgrade_test.go
+++ b/test/upgrade_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 	"testing"
 	"time"
 
+	"larchusher/lab/fakeserver"
 	"larchusher/lab/loopback"
 )
 
@@ -332,6 +334,97 @@
 	}
 }
 
+// orderBytes is the size of the largest request body that the front accepts.
+const orderBytes = 48_000
+
+// sendOrders sends two requests of the largest size, which together exceed the input that a connection buffers for the
+// successor, and returns their message ids. Their answers must not depend on requests that are open before them.
+func (c *client) sendOrders() (ids []int) {
+	c.t.Helper()
+	for _, key := range []string{"first", "second"} {
+		ids = append(ids, c.send("orders", object, 3*time.Second, strings.Repeat("x", orderBytes), "unique", key))
+	}
+	return ids
+}
+
+// Guards against answers that are cut and requests that are never sent to a store, when more input arrives during an
+// upgrade than a connection buffers while answers are due on it.
+func TestUpgradeServesRequestsBeyondBufferedInput(t *testing.T) {
+	const videoBytes = 240_000 // more than a socket takes at once
+	r := newRig(t).withSharedTempDir().start()
+	pending := make(chan *storeRequest, 10)
+	r.setHandler(func(a *storeRequest) {
+		if a.Fields["lane"] == "films" {
+			pending <- a
+			return
+		}
+		serveHit(a)
+	})
+	c := r.client()
+	open := map[int]string{} // objects of the requests whose answers the stores withhold
+	for _, object := range []string{"00000000000000aa", "00000000000000bb"} {
+		open[c.send("films", object, 5*time.Second, "")] = object
+	}
+	withheld := []*storeRequest{receive(t, pending), receive(t, pending)}
+	r.startSuccessor()
+	r.signal(syscall.SIGTERM)
+	r.waitForLog("msg=\"upgrade: migrating clients\"")
+
+	orders := c.sendOrders()
+	for range orders {
+		if a := c.readAnswer(); a.err != "" || !slices.Contains(orders, a.id) {
+			t.Errorf("answer %d has error %q while the films wait for their store; want an answer to one of the orders %v, without an error", a.id, a.err, orders)
+		}
+	}
+	for _, a := range withheld {
+		a.Serve("warm", fakeserver.ContentOfSize(a.Fields["name"], a.Fields["piece"], videoBytes))
+	}
+	for range open {
+		a := c.readAnswer()
+		if want := fakeserver.ContentOfSize(open[a.id], "3", videoBytes); a.err != "" || a.body != want {
+			t.Errorf("answer to film %d has error %q and %d bytes, want its %d bytes", a.id, a.err, len(a.body), len(want))
+		}
+	}
+	c.send("films", "00000000000000cc", 5*time.Second, "")
+	serveHit(receive(t, pending))
+	if a := c.readAnswer(); a.err != "" {
+		t.Errorf("request after the upgrade on the same connection: answer %+v, want no error", a)
+	}
+	if err := r.waitExit(); err != nil {
+		t.Errorf("the predecessor exited with %v, want status 0", err)
+	}
+}
+
+// Guards against a cancel or a close that goes unseen during an upgrade behind more input than a connection buffers: the
+// stores must hear that the open requests are given up.
+func TestUpgradeSeesCancelAndCloseBehindBufferedInput(t *testing.T) {
+	r := newRig(t).withSharedTempDir().start()
+	pending := make(chan *storeRequest, 10)
+	r.setHandler(func(a *storeRequest) { pending <- a })
+	cancelling, closing := r.client(), r.client()
+	cancelled := cancelling.send("films", "00000000000000aa", 5*time.Second, "")
+	cancelledAtStore := receive(t, pending)
+	closing.send("films", "00000000000000bb", 5*time.Second, "")
+	closedAtStore := receive(t, pending)
+	r.startSuccessor()
+	r.signal(syscall.SIGTERM)
+	r.waitForLog("msg=\"upgrade: migrating clients\"")
+	r.setHandler(func(*storeRequest) {})
+	cancelling.sendOrders()
+	closing.sendOrders()
+	time.Sleep(100 * time.Millisecond) // the predecessor has read the orders
+
+	cancelling.write(append([]byte{0x93, 2}, append(packString("cancelRequest"), 0x91, byte(cancelled))...))
+	loopback.Close(closing.conn)
+	deadline := time.Now().Add(time.Second) // before any time limit ends the requests
+	for _, a := range []*storeRequest{cancelledAtStore, closedAtStore} {
+		eventually(t, "the store of film "+a.Fields["name"]+" has received a cancel", func() bool { return a.Store.HasQuit(a.ID) })
+	}
+	if time.Now().After(deadline) {
+		t.Error("the stores received the cancels over 1 s after the clients gave the requests up")
+	}
+}
+
 // Predecessor and successor together must not exceed the budget of a cold store. After the state is handed over, the cold
 // store must get no requests for a whole overload window (the test checks the first four fifths of it), and then get some
 // again.
