Reload: keys that the protocol lets a file leave out may be missing

Callers saw: after a reload that added a class without aimStretch, purged copies.

Cause: missingClassKey wanted each key that all classes of the start have, which cannot tell a needed key from one that happens to be in each of them. missingKey did the same with settings.prices.fleet.

Change: the keys that the protocol calls optional are listed and may be missing; all others are wanted as before.

--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -17,6 +17,12 @@
 	classKeys []string // sorted keys that every element of settings.classes has
 }
 
+// Keys that a configuration may leave out, by the protocol: a file without one is complete, whatever earlier files had.
+var (
+	optionalKeys      = []string{"settings.prices.fleet"}
+	optionalClassKeys = []string{"aimStretch"}
+)
+
 // classListKey is the key of the list of classes, whose elements a reload may add or remove.
 const classListKey = "settings.classes"
 
@@ -55,22 +61,27 @@
 	}
 }
 
-// missingKey returns the first key of s that a newer configuration lacks, or "". The endpoint list (key known) may be missing:
-// discovery keeps it current while the program runs.
+// missingKey returns the first key of s that a newer configuration must have and lacks, or "".
 func (s keySet) missingKey(newer keySet) string {
 	for _, key := range s.keys {
-		if _, found := slices.BinarySearch(newer.keys, key); !found && key != "known" && !strings.HasPrefix(key, "known.") {
+		if _, found := slices.BinarySearch(newer.keys, key); !found && !mayBeMissing(key) {
 			return key
 		}
 	}
 	return ""
 }
 
+// mayBeMissing reports whether a newer configuration may lack a key outside the list of classes. The endpoint list (key known)
+// may be missing: discovery keeps it current while the program runs.
+func mayBeMissing(key string) bool {
+	return key == "known" || strings.HasPrefix(key, "known.") || slices.Contains(optionalKeys, key)
+}
+
 // missingClassKey does for the elements of the list of classes what missingKey does for other keys. The key that it returns
 // has the form settings.classes[].NAME.
 func (s keySet) missingClassKey(newer keySet) string {
 	for _, name := range s.classKeys {
-		if !slices.Contains(newer.classKeys, name) {
+		if !slices.Contains(newer.classKeys, name) && !slices.Contains(optionalClassKeys, name) {
 			return classListKey + "[]." + name
 		}
 	}
@@ -78,7 +89,7 @@
 }
 
 // CheckReload returns an error that names the key if a newer configuration must not replace c while the program runs. It is
-// stricter than Parse: every key of c must be present, the limit on attempts and the deadlines of classes must be
+// stricter than Parse: every key of c must be present unless it is optional, the limit on attempts and the deadlines of classes must be
 // positive, and no other number of a class may be negative.
 func (c *Gateway) CheckReload(newer *Gateway) error {
 	if key := c.keys.missingKey(newer.keys); key != "" {
--- a/test/settings_test.go
+++ b/test/settings_test.go
@@ -95,6 +95,30 @@
 	})
 }
 
+// Guards against a reload that is rejected because a class that it adds has left out an optional key, which all earlier
+// classes have: the gateway would stay with an address at which the journal service tells nothing more, and hear of no
+// purge.
+func TestReloadAddsClassWithoutOptionalKey(t *testing.T) {
+	r := newRig(t)
+	console := r.withConsole()
+	full, s := testSettings(t), testSettings(t)
+	s["classes"] = s["classes"].([]any)[:2] // films and images, which have the optional key aimStretch, and orders has not
+	r.config["settings"] = s
+	r.start()
+
+	second := newJournal(t)
+	r.config["journal"], r.config["settings"] = second.Addr, full
+	r.reload(console)
+	receive(t, second.Connected)
+	second.Publish(2, `"expire":{"name":"`+object+`","stamp":1}`)
+	eventually(t, "the purge of the new journal has been processed", func() bool { return r.counter("purges") == 1 })
+	c := r.client()
+	c.send("orders", object, 2*time.Second, "", "unique", "key")
+	if a := c.readAnswer(); a.err != "" {
+		t.Errorf("request of the added class: answer %+v, want no error", a)
+	}
+}
+
 // A reload that lowers the number of attempts must apply to new requests only; open ones keep the old limit.
 func TestReloadedAttemptLimitAppliesToNewRequests(t *testing.T) {
 	r := newRig(t)
