Upgrade: what waits behind a slow request is served within a bounded time

Cause: input on a connection with an open request was buffered until that was answered, without a bound on time and without its requests being parsed. The record of the case shows all answers 2 ms after that of the slow request.

Change: input waits for 50 ms at most, and a request for a quarter of its limit; then the predecessor handles it, with its arrival times. In the last 0.4 s it waits for the successor, up to that quarter. A closed gateway rejects what is submitted to it, so what is left at the very end is refused.

--- a/cmd/larchusher/predecessor.go
+++ b/cmd/larchusher/predecessor.go
@@ -81,25 +81,50 @@
 	p.migrateIdleConns(start.Add(acceptQueueTime), start.Add(p.answerTimeAfterUpgrade()))
 }
 
+// Durations of the migration of clients' connections.
+const (
+	migrateInterval = 2 * time.Millisecond   // interval of polling for idle connections
+	maxBufferTime   = 50 * time.Millisecond  // longest wait of input for its connection to become idle; then it is handled here
+	lastBufferTime  = 400 * time.Millisecond // at the end input waits for up to this, since what is begun here may be cut short
+	migrationGrace  = 50 * time.Millisecond  // to migrate connections after the last requests were answered as expired
+)
+
 // migrateIdleConns repeatedly hands over idle connections until no connection or request is left, and then ends the program. It
 // does not end before earliest, since connections that the kernel has accepted may not have reached the front yet. At
-// latest it answers the open requests as expired and ends the program.
+// latest it answers the open requests as expired, rejects those that arrive on connections which cannot migrate, and soon ends
+// the program.
 func (p *program) migrateIdleConns(earliest, latest time.Time) {
 	now := p.loop.Now()
 	if !now.Before(latest) {
 		p.gateway.Close()
 	}
-	var left int
-	if p.successor != nil { // set once the handover has completed, which may have been only after the shutdown began
-		p.platformFront.BufferRequests(int64(p.memoryFraction(migratingInputDivisor)))
-		left = p.platformFront.MigrateIdle(p.migrateConn)
-	} else {
-		left = p.platformFront.CloseIdle()
-	}
-	unfinished := left > 0 || p.gateway.OpenRequests() > 0
-	if now.Before(earliest) || now.Before(latest) && unfinished {
+	unfinished := p.migrateOrCloseIdle(now, latest) > 0 || p.gateway.OpenRequests() > 0
+	if now.Before(earliest) || unfinished && now.Before(latest.Add(migrationGrace)) {
 		p.loop.After(migrateInterval, func() { p.migrateIdleConns(earliest, latest) })
 		return
 	}
 	p.endWhenAnswered(latest)
 }
+
+// migrateOrCloseIdle starts to hand over idle connections to the successor, or closes them if it does not take connections. It
+// returns how many connections are left.
+func (p *program) migrateOrCloseIdle(now, latest time.Time) (left int) {
+	if p.successor == nil { // not yet, perhaps: the handover may complete only after the shutdown has begun
+		return p.platformFront.CloseIdle()
+	}
+	p.platformFront.BufferRequests(int64(p.memoryFraction(migratingInputDivisor)))
+	return p.platformFront.MigrateIdle(p.migrateConn, bufferTime(now, latest))
+}
+
+// bufferTime returns for how long input may wait for its connection to become idle, in a process that answers its open requests as
+// expired at latest.
+func bufferTime(now, latest time.Time) time.Duration {
+	switch left := latest.Sub(now); {
+	case left <= 0:
+		return 0
+	case left <= lastBufferTime:
+		return lastBufferTime
+	default:
+		return maxBufferTime
+	}
+}
--- a/cmd/larchusher/successor.go
+++ b/cmd/larchusher/successor.go
@@ -32,7 +32,6 @@
 	overlapResourceShare = 0.4                   // share of the limits on file descriptors and memory for each process while both run
 	maxHandedListings    = 20000                 // listings of each director's mapping table that are handed over at most
 	acceptQueueTime      = 50 * time.Millisecond // time in which connections that the kernel has accepted reach the fronts
-	migrateInterval      = 2 * time.Millisecond  // interval of polling for idle connections
 	stateFormat          = 1                     // version of handedState; a state of another version is ignored
 	softMemoryShare      = 0.6                   // share of the memory limit that is the Go runtime's soft limit, near which it collects garbage at once
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,7 @@
 	bodyBytes            int                       // total size of the bodies of open requests
 	outcomes             map[string]*ClassOutcomes // by class
 	retiredClassesTimer  *Timer                    // removes dropped classes; nil: no class was dropped so far
+	closed               bool                      // set by Close
 
 	dispatch
 	drain      drainState
@@ -122,8 +123,10 @@
 // OpenRequests returns the number of requests that have no answer yet.
 func (g *Gateway) OpenRequests() int { return len(g.requests) }
 
-// Close answers every open request as expired, for a program that must end now.
+// Close answers every open request as expired, for a program that must end now. Requests that are submitted afterwards are
+// rejected.
 func (g *Gateway) Close() {
+	g.closed = true
 	for _, r := range g.requests {
 		g.expireRequest(r)
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"larchusher/gateway"
+	"larchusher/overload"
 	"larchusher/routing"
 )
 
@@ -76,3 +77,25 @@
 		}
 	})
 }
+
+// A program that must end closes its gateway: open requests must be answered as expired, and later ones rejected without
+// an attempt, so that their clients may send them elsewhere.
+func TestClosedGatewayRejectsRequests(t *testing.T) {
+	h := newTestGateway(t, overload.Config{})
+	var answers []gateway.Answer
+	submit := func(id string) {
+		h.g.Submit(&gateway.Request{ID: id, Class: "page", Object: "x", Deadline: time.Now().Add(time.Second),
+			Answer: func(a gateway.Answer) { answers = append(answers, a) }})
+	}
+	h.onLoop(func() {
+		submit("open")
+		h.g.Close()
+		submit("late")
+	})
+	if len(answers) != 2 || answers[0].Outcome != gateway.OutcomeExpired || answers[1].Outcome != gateway.OutcomeRejected || !answers[1].Retryable {
+		t.Errorf("answers %+v, want the first request expired and the second one rejected, to be retried", answers)
+	}
+	if len(h.sent) > 0 {
+		t.Errorf("%d attempts were sent, want none", len(h.sent))
+	}
+}
--- a/gateway/requests.go
+++ b/gateway/requests.go
@@ -77,7 +77,7 @@
 // returns, unless the front abandons the request first.
 func (g *Gateway) Submit(r *Request) {
 	g.register(r)
-	if g.overCapacity() {
+	if g.closed || g.overCapacity() {
 		g.answerRequest(r, Answer{Outcome: OutcomeRejected, RetryAfter: g.LongRetryAfter(r.ID), Retryable: true})
 		return
 	}
--- a/internal/net/msgpackrpc/buffering.go
+++ b/internal/net/msgpackrpc/buffering.go
@@ -2,14 +2,16 @@
 
 import (
 	"slices"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"larchusher/internal/net/transport"
 )
 
 // While a successor process takes over (see migration.go), the input of a connection is buffered, so that the connection
-// falls idle and can migrate together with that input. Input that does not fit into the buffer is handled by this
-// process, behind everything that is buffered. Reading never stops while requests are open: the poller must write their
+// falls idle and can migrate together with that input. Input that has been buffered for too long, or does not fit into
+// the buffer, is handled by this process. Reading never stops while requests are open: the poller must write their
 // answers, and see a cancel or the end of the connection.
 
 // Limits of the input buffered on one connection. What is within them fits into one packet to the successor.
@@ -18,12 +20,36 @@
 	maxBufferedChunks = 256
 )
 
+// maxLimitShareWaited is the share of its time limit for which a request may be buffered.
+const maxLimitShareWaited = 0.25
+
 // bufferedChunk is buffered input that was read at one time.
 type bufferedChunk struct {
 	size int // bytes
 	at   time.Time
 }
 
+// bufferTimes says how long the input of a connection has been buffered, and how long it may be. The poller sets it, and
+// the loop reads it. Times are in nanoseconds since Front.startedAt; 0: none.
+type bufferTimes struct {
+	since    atomic.Int64 // when the first chunk was read
+	handleBy atomic.Int64 // when a request has been buffered for its share of its time limit
+}
+
+// clear sets both times to none.
+func (t *bufferTimes) clear() {
+	t.since.Store(0)
+	t.handleBy.Store(0)
+}
+
+// waitedFor reports whether input has been buffered for maxWait, or a buffered request for its share of its time limit.
+// It is called on the loop.
+func (c *conn) waitedFor(maxWait time.Duration) bool {
+	since, handleBy := c.bufferTimes.since.Load(), c.bufferTimes.handleBy.Load()
+	now := int64(c.front.loop.Now().Sub(c.front.startedAt))
+	return since != 0 && now-since >= int64(maxWait) || handleBy != 0 && now >= handleBy
+}
+
 // BufferRequests stops the handling of new requests. Their input is buffered until the connection migrates, up to
 // maxBytes on all connections together. It may be called from any goroutine.
 func (f *Front) BufferRequests(maxBytes int64) {
@@ -43,9 +69,12 @@
 		}
 		return c.handleInput(tc, b, at)
 	}
+	if len(c.bufferedChunks) == 0 {
+		c.bufferTimes.since.Store(int64(at.Sub(c.front.startedAt)))
+	}
 	c.bufferedChunks = append(c.bufferedChunks, bufferedChunk{size: len(b), at: at})
 	c.buf = append(c.buf, b...)
-	if cancels := c.scanCancels(); len(cancels) > 0 {
+	if cancels := c.scanBuffered(at); len(cancels) > 0 {
 		c.post(tc, &batch{messages: cancels})
 	}
 	return nil
@@ -75,6 +104,7 @@
 	chunks := c.bufferedChunks
 	c.buf = slices.Clone(before)
 	c.bufferedChunks, c.scannedBytes = nil, 0
+	c.bufferTimes.clear()
 	c.releaseBuffer()
 	for _, chunk := range chunks {
 		if err := c.handleInput(tc, input[:chunk.size], chunk.at); err != nil {
@@ -95,9 +125,10 @@
 	return c.buf[:start], c.buf[start:]
 }
 
-// scanCancels returns the cancel messages in the buffered input that it has not searched yet. Incomplete and
-// malformed messages are left to the process that handles the input.
-func (c *conn) scanCancels() (cancels []clientMessage) {
+// scanBuffered searches the buffered input that it has not searched yet, the last of which was read at the given time. It
+// returns the cancel messages in it, and limits how long the requests in it are buffered. Incomplete and malformed messages
+// are left to the process that handles the input.
+func (c *conn) scanBuffered(at time.Time) (cancels []clientMessage) {
 	for rest := c.buf[c.scannedBytes:]; len(rest) > 0; {
 		m, after, incomplete, err := nextMessage(rest)
 		if incomplete || err != nil {
@@ -107,8 +138,22 @@
 			c.pendingCancels.add(m.number)
 			cancels = append(cancels, clientMessage{kind: cancelMessage, id: m.number})
 		}
+		c.limitWait(&m, at)
 		c.scannedBytes += len(rest) - len(after)
 		rest = after
 	}
 	return cancels
 }
+
+// limitWait limits how long a message that arrived at the given time is buffered, if it has a time limit.
+func (c *conn) limitWait(m *message, at time.Time) {
+	limitMs, err := strconv.ParseUint(string(m.fields.timeLimit), 10, numberBits)
+	if err != nil { // no request, or one that is unreadable
+		return
+	}
+	wait := time.Duration(maxLimitShareWaited * float64(limitMs) * float64(time.Millisecond))
+	handleBy := int64(at.Add(wait).Sub(c.front.startedAt))
+	if earliest := c.bufferTimes.handleBy.Load(); earliest == 0 || handleBy < earliest {
+		c.bufferTimes.handleBy.Store(handleBy)
+	}
+}
--- a/internal/net/msgpackrpc/conn.go
+++ b/internal/net/msgpackrpc/conn.go
@@ -22,7 +22,8 @@
 	postedBatches   atomic.Int64 // batches that the loop has not handled yet
 	shedUncounted   atomic.Int64 // shed requests that the loop has not counted yet
 	bufferedBytes   atomic.Int64 // bytes buffered for the successor process
-	migrationFailed atomic.Bool  // the connection cannot migrate, so its input is handled here
+	bufferTimes     bufferTimes
+	migrationFailed atomic.Bool // the connection cannot migrate, so its input is handled here
 	pendingCancels  pendingCancels
 
 	// Used by the loop only.
--- a/internal/net/msgpackrpc/front.go
+++ b/internal/net/msgpackrpc/front.go
@@ -31,6 +31,7 @@
 	tracker *transport.ConnTracker
 	closed  bool // set by CloseAll
 
+	startedAt        time.Time
 	buffering        atomic.Bool  // set by BufferRequests
 	maxBufferedBytes atomic.Int64 // limit of bufferedBytes
 	bufferedBytes    atomic.Int64 // bytes of input buffered for the successor process on all connections
@@ -44,7 +45,8 @@
 // New returns a front for at most maxConns connections. NewHandler creates their handlers. classes are the names of
 // the traffic classes that are served.
 func New(loop *gateway.Loop, g *gateway.Gateway, classes []string, maxConns int, log logrus.FieldLogger) *Front {
-	f := &Front{loop: loop, gateway: g, log: log, conns: map[*conn]bool{}, tracker: transport.NewConnTracker(maxConns)}
+	f := &Front{loop: loop, gateway: g, log: log, conns: map[*conn]bool{}, startedAt: loop.Now(),
+		tracker: transport.NewConnTracker(maxConns)}
 	f.SetClasses(classes)
 	loop.After(sweepInterval, f.sweep)
 	return f
--- a/internal/net/msgpackrpc/migration.go
+++ b/internal/net/msgpackrpc/migration.go
@@ -1,41 +1,53 @@
 package msgpackrpc
 
 import (
+	"time"
+
 	"larchusher/internal/logfields"
 	"larchusher/internal/net/transport"
 )
 
 // A connection migrates to the successor process once no request is open on it and all answers have been written. The
 // loop decides that, pauses reading through the poller, and looks again: what the poller had read before the pause has
-// then reached the loop. The descriptor leaves the poller only once the successor has it.
+// then reached the loop. The descriptor leaves the poller only once the successor has it. Where a connection has to wait for
+// long, its input does not: this process handles it.
 
 // MigrateFunc sends a connection and its unhandled input to the successor.
 type MigrateFunc func(tc *transport.Conn, received []transport.ReceivedChunk) error
 
 // MigrateIdle starts to migrate each connection without open requests, and returns how many connections have not
-// migrated yet. It is to be called repeatedly. A connection that cannot migrate is served here, and closed once it is
-// idle.
-func (f *Front) MigrateIdle(migrate MigrateFunc) (left int) {
+// migrated yet. It is to be called every few milliseconds. On a connection that cannot migrate, input is buffered for up to
+// maxWait, and a request for no more than a share of its time limit; then it is handled here. A connection for which migrate has failed is served here, and closed once it is idle.
+func (f *Front) MigrateIdle(migrate MigrateFunc, maxWait time.Duration) (left int) {
 	for c := range f.conns {
 		if c.tc.Closing() || c.migrated {
 			continue
 		}
-		switch {
-		case c.migrationFailed.Load():
-			if c.closeIfIdle() {
-				continue
-			}
-		case c.canMigrate() && !c.migrating:
-			c.pauseAndMigrate(migrate)
+		if c.migrationFailed.Load() && c.closeIfIdle() {
+			continue
 		}
 		left++
+		if !c.migrating && !c.migrationFailed.Load() && !c.tc.SettingUp() {
+			c.migrateOrHandle(migrate, maxWait)
+		}
 	}
 	return left
 }
 
+// migrateOrHandle starts to migrate the connection if that is possible, and else has input handled here that has been
+// buffered for maxWait.
+func (c *conn) migrateOrHandle(migrate MigrateFunc, maxWait time.Duration) {
+	switch {
+	case c.canMigrate():
+		c.pauseAndMigrate(migrate)
+	case c.waitedFor(maxWait):
+		c.handleBufferedSoon()
+	}
+}
+
 // canMigrate reports whether no request is open and nothing waits to be handled or written.
 func (c *conn) canMigrate() bool {
-	return len(c.open) == 0 && c.postedBatches.Load() == 0 && c.tc.UnsentBytes() == 0 && !c.tc.SettingUp()
+	return len(c.open) == 0 && c.postedBatches.Load() == 0 && c.tc.UnsentBytes() == 0
 }
 
 // pauseAndMigrate pauses reading and then migrates the connection if that is still possible.
--- a/internal/net/msgpackrpc/parse.go
+++ b/internal/net/msgpackrpc/parse.go
@@ -21,6 +21,8 @@
 	maxTimeLimit  = time.Minute // longer time limits of clients are cut to this
 	maxFieldBytes = 128
 	idDigits      = 16 // hex digits of request and object IDs
+
+	numberBits = 31 // bits of a number in a field
 )
 
 // Errors of an unreadable request.
@@ -94,7 +96,7 @@
 		Admitted:       true,
 	}
 	numbers := numberParser{}
-	limit := min(time.Duration(numbers.required("limit", f.timeLimit, 1<<31))*time.Millisecond, maxTimeLimit)
+	limit := min(time.Duration(numbers.required("limit", f.timeLimit, 1<<numberBits))*time.Millisecond, maxTimeLimit)
 	r.Part = int(numbers.optional("n", f.part, maxPart))
 	r.Group = int(numbers.optional("shard", f.group, maxGroup))
 	switch {
@@ -131,8 +133,7 @@
 	if p.err != nil {
 		return 0
 	}
-	const bits = 31
-	n, err := strconv.ParseUint(string(text), 10, bits)
+	n, err := strconv.ParseUint(string(text), 10, numberBits)
 	switch {
 	case err != nil:
 		p.err = fmt.Errorf("%s: %w", field, err)
