Upgrade: bounds on bodies and unread answers are divided while two processes run

Since the predecessor serves what waits behind a slow request, both processes may work at their bounds at once. The bounds beyond which connections are closed stay as they are.

--- a/cmd/larchusher/start.go
+++ b/cmd/larchusher/start.go
@@ -81,6 +81,11 @@
 // memoryFraction returns the memory limit in bytes, divided by divisor.
 func (p *program) memoryFraction(divisor int) int { return p.cfg.Limits.MemoryMB << 20 / divisor }
 
+// unreadAnswersLimit returns the limit in bytes on the answers that clients have not read.
+func (p *program) unreadAnswersLimit() int64 {
+	return cmp.Or(p.operator.Overload.MemoryLimit, int64(p.memoryFraction(unreadAnswersDivisor)))
+}
+
 // operatorError wraps an error about a value of the operator's file with the path of the file.
 func (p *program) operatorError(err error) error {
 	return fmt.Errorf("operator's file %s: %w", p.operatorPath, err)
@@ -138,7 +143,7 @@
 		MaxOpenRequests: p.cfg.Sockets.MaxOpenRequests,
 		MaxBodyBytes:    p.memoryFraction(bodiesDivisor),
 	}
-	c.Overload.MemoryLimit = cmp.Or(c.Overload.MemoryLimit, int64(p.memoryFraction(unreadAnswersDivisor)))
+	c.Overload.MemoryLimit = p.unreadAnswersLimit()
 	if p.operator.Cluster != nil { // no endpoint is permitted before the cluster's view of maintenance is known
 		c.EndpointPermitted = func(endpoint string) bool { return p.cluster != nil && p.cluster.EndpointPermitted(endpoint) }
 	}
--- a/cmd/larchusher/successor.go
+++ b/cmd/larchusher/successor.go
@@ -155,9 +155,11 @@
 	}
 }
 
-// useResourceShare restricts this process to a share, from 0 to 1, of the limits on file descriptors and memory.
+// useResourceShare restricts this process to a share, from 0 to 1, of the limits on file descriptors and memory. Of the bounds on
+// buffers it lowers those beyond which requests are rejected, but not the last ones, beyond which connections are closed.
 func (p *program) useResourceShare(share float64) {
 	p.setMemoryLimit(share)
+	p.gateway.SetMemoryLimits(int(share*float64(p.memoryFraction(bodiesDivisor))), int64(share*float64(p.unreadAnswersLimit())))
 	p.pool.SetMaxConns(scaleQuota(p.connQuotas().Endpoints, share))
 	p.useConnShare(share)
 }
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -25,6 +25,13 @@
 	}
 }
 
+// SetMemoryLimits replaces the limits on the bytes of open requests' bodies, and on the bytes of answers that clients have not
+// read; 0: no limit. Requests that are open are not affected.
+func (g *Gateway) SetMemoryLimits(bodies int, unreadAnswers int64) {
+	g.cfg.MaxBodyBytes = bodies
+	g.memory.SetLimit(unreadAnswers)
+}
+
 // reserveAnswer reserves memory for the answer to a request, and reports whether there was enough.
 func (g *Gateway) reserveAnswer(r *Request) bool {
 	if r.Client == nil {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -99,3 +99,23 @@
 		t.Errorf("%d attempts were sent, want none", len(h.sent))
 	}
 }
+
+// Lower limits on memory must reject further requests whose bodies exceed them, and leave the open ones alone.
+func TestLowerMemoryLimitsRejectFurtherRequests(t *testing.T) {
+	h := newTestGateway(t, overload.Config{})
+	answers := map[string]gateway.Outcome{}
+	submit := func(id string) {
+		h.g.Submit(&gateway.Request{ID: id, Class: "page", Object: id, Body: make([]byte, 100), Deadline: time.Now().Add(time.Second),
+			Answer: func(a gateway.Answer) { answers[id] = a.Outcome }})
+	}
+	h.onLoop(func() {
+		h.g.SetMemoryLimits(250, 0)
+		submit("first")
+		submit("second")
+		h.g.SetMemoryLimits(200, 0)
+		submit("third")
+	})
+	if outcome, answered := answers["third"]; len(answers) != 1 || !answered || outcome != gateway.OutcomeRejected {
+		t.Errorf("outcomes by id are %v, want the third request rejected and no other answer", answers)
+	}
+}
--- a/overload/memory.go
+++ b/overload/memory.go
@@ -52,6 +52,10 @@
 	return &Memory{limit: limit, expectedSize: initialExpectedSize, clients: map[*Client]bool{}}
 }
 
+// SetLimit replaces the limit in bytes; 0: unlimited. What is in use beyond a lower limit stays in use, and nothing more is
+// reserved until it is released.
+func (m *Memory) SetLimit(limit int64) { m.limit = limit }
+
 // AddClient adds a client. value is for the caller's use.
 func (m *Memory) AddClient(value any) *Client {
 	m.lastSerial++
--- a/overload/memory_test.go
+++ b/overload/memory_test.go
@@ -112,3 +112,21 @@
 		t.Errorf("%d clients closed and %d requests rejected, want some of both", closed, slow.rejected)
 	}
 }
+
+// A lower limit must stop further reservations until enough has been released, and must not touch what is reserved.
+func TestLowerLimitStopsReservations(t *testing.T) {
+	m := NewMemory(1_000_000)
+	reader, other := m.AddClient(nil), m.AddClient(nil)
+	n, ok := m.Reserve(reader)
+	if !ok {
+		t.Fatal("nothing can be reserved within the first limit")
+	}
+	m.SetLimit(n / maxReservedRatio)
+	if _, ok := m.Reserve(other); ok {
+		t.Error("a second response was reserved beyond the lower limit")
+	}
+	m.Release(reader, n, -1)
+	if _, ok := m.Reserve(other); !ok {
+		t.Error("nothing can be reserved within the lower limit after the first response was released")
+	}
+}
