Reload: a fault in one of the two files does not keep the other from being applied

Cause: the two files were loaded, checked and applied as one.

Change: each file is checked and applied by itself, and wholly or not at all. A reload of which a file is faulty counts as rejected, as before, and its log line says which file was applied.

--- a/cmd/larchusher/listeners.go
+++ b/cmd/larchusher/listeners.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return p.operatorError(fmt.Errorf("signed_front.listen: %w", err))
 	}
-	p.signedListener = l
+	p.signedListener, p.signedConfig = l, p.operator.SignedFront
 	p.listeners = append(p.listeners, l)
 	p.logListening(l, "signed front")
 	return nil
--- a/cmd/larchusher/program.go
+++ b/cmd/larchusher/program.go
@@ -39,6 +39,7 @@
 	platformListener  *transport.Listener
 	signedFront       *signedfront.Front // front for signed URLs; nil: off
 	signedListener    *transport.Listener
+	signedConfig      *config.SignedFront   // as applied last; nil: the signed front is off or was removed
 	signedFrontClosed bool                  // a reload has removed the signed front
 	listeners         []*transport.Listener // of the fronts, the checks and metrics; excludes adminListener
 	adminListener     *transport.Listener   // nil: the configuration has no address for it
@@ -52,8 +53,8 @@
 	accepting       bool   // the start has completed, and clients are accepted
 	draining        bool   // graceful shutdown has begun
 	onAllAnswered   func() // called once all requests are answered, shutdownNoticeTime before the program ends; nil: no callback
-	reloads         int    // reloads that were applied
-	rejectedReloads int    // reloads that failed a check
+	reloads         int    // reloads of which both files were applied
+	rejectedReloads int    // reloads of which a file failed a check
 }
 
 // endpointSink combines the gateway and the pool of connections as the receiver of endpoint events.
--- a/cmd/larchusher/reload.go
+++ b/cmd/larchusher/reload.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"os"
 	"strings"
 
@@ -8,77 +9,126 @@
 	"larchusher/internal/config"
 	"larchusher/internal/httpapi"
 	"larchusher/internal/logfields"
+	"larchusher/locality"
 	"larchusher/routing"
 	"larchusher/signedurl"
 )
 
+// reloadedFiles are the two configuration files as a reload has read them, each with the error for which nothing of it is applied.
+// The files are independent: a fault in one does not keep the other from being applied.
+type reloadedFiles struct {
+	platform    *config.Gateway
+	platformErr error
+	operator    *config.Operator
+	operatorErr error
+	localities  *locality.Config // new limits of the localities, from the operator's file; nil: unchanged
+}
+
 // reload loads both configuration files and posts them to the loop to be applied. It runs on the signal goroutine, because the
 // loop must not block on file reads.
 func (p *program) reload() {
-	cfg, err := config.Load(os.Getenv)
-	if err != nil {
-		p.loop.Post(func() { p.rejectReload(err) })
-		return
+	f := &reloadedFiles{}
+	f.platform, f.platformErr = config.Load(os.Getenv)
+	f.operator, f.operatorErr = config.LoadOperator(p.operatorPath, os.Getenv)
+	p.loop.Post(func() { p.applyReload(f) })
+}
+
+// applyReload applies what may change while the program runs: the journal's address, the classes, the limit on attempts, the
+// keys of the signed front and the limits of localities. Open requests and connections are not affected. A file is checked
+// before any part of it is applied, so that a faulty one changes nothing.
+func (p *program) applyReload(f *reloadedFiles) {
+	p.checkReload(f)
+	p.reconfigureGateway(f)
+	p.warnRestartKeys(f)
+	if f.platformErr == nil {
+		p.applyPlatformFile(f.platform)
 	}
-	op, err := config.LoadOperator(p.operatorPath, os.Getenv)
-	if err != nil {
-		p.loop.Post(func() { p.rejectReload(err) })
-		return
+	signed := p.signedConfig
+	if f.operatorErr == nil {
+		signed = f.operator.SignedFront
 	}
-	p.loop.Post(func() {
-		if err := p.applyReload(cfg, op); err != nil {
-			p.rejectReload(err)
-		}
-	})
+	p.reloadSignedFront(signed)
+	p.reportReload(f)
 }
 
-// rejectReload counts and logs a reload that was not applied because of an error in the files.
-func (p *program) rejectReload(err error) {
-	p.rejectedReloads++
-	p.log.WithError(err).Error(logfields.ReloadRejected)
+// checkReload checks the files that could be read.
+func (p *program) checkReload(f *reloadedFiles) {
+	if f.platformErr == nil {
+		f.platformErr = p.cfg.CheckReload(f.platform)
+	}
+	if f.operatorErr == nil {
+		f.localities, f.operatorErr = p.checkOperatorFile(f.operator)
+	}
 }
 
-// applyReload applies what may change while the program runs: the journal's address, the classes, the limit on attempts, the
-// keys of the signed front and the limits of localities. Open requests and connections are not affected. Both files are checked
-// before any part is applied, so an error leaves everything unchanged.
-func (p *program) applyReload(cfg *config.Gateway, op *config.Operator) error {
-	if err := p.cfg.CheckReload(cfg); err != nil {
-		return err
-	}
+// checkOperatorFile returns the limits of the localities that a newer operator's file applies (nil: unchanged), or an error if
+// nothing of the file may be applied.
+func (p *program) checkOperatorFile(op *config.Operator) (*locality.Config, error) {
 	if op.SignedFront != nil {
-		if _, err := newSignedAPI(op.SignedFront, cfg.Settings); err != nil {
-			return err
+		if _, err := newSignedAPI(op.SignedFront, p.cfg.Settings); err != nil {
+			return nil, p.operatorError(err)
 		}
 	}
 	localities, err := op.LocalitiesFor(p.cfg.Settings.Zone, p.cfg.Settings.Zones)
 	if err != nil {
-		return err
+		return nil, p.operatorError(err)
 	}
-	if p.operator.Localities == nil || !p.operator.SameRestartSettings(op) { // changes of the localities wait for the next start
-		localities = nil
+	if localities == nil || p.operator.Localities == nil || !p.operator.SameRestartSettings(op) { // wait for the next start
+		return nil, nil
 	}
-	change := gateway.Reconfiguration{Classes: cfg.Settings.Classes, MaxAttempts: cfg.Settings.MaxAttempts, Localities: localities}
-	if err := p.gateway.Reconfigure(change); err != nil {
-		return err
+	if err := p.gateway.CheckLocalities(*localities); err != nil {
+		return nil, p.operatorError(err)
 	}
-	p.reloads++
-	p.warnRestartKeys(cfg, op)
+	return localities, nil
+}
+
+// reconfigureGateway applies the files to the gateway. It records an error that the checks have not found as the platform's.
+func (p *program) reconfigureGateway(f *reloadedFiles) {
+	switch {
+	case f.platformErr == nil:
+		f.platformErr = p.gateway.Reconfigure(gateway.Reconfiguration{Classes: f.platform.Settings.Classes,
+			MaxAttempts: f.platform.Settings.MaxAttempts, Localities: f.localities})
+	case f.localities != nil:
+		f.operatorErr = p.gateway.ReconfigureLocalities(*f.localities)
+	}
+}
+
+// applyPlatformFile applies the platform's configuration to all parts but the gateway.
+func (p *program) applyPlatformFile(cfg *config.Gateway) {
 	p.cfg.Settings.Classes, p.cfg.Settings.MaxAttempts = cfg.Settings.Classes, cfg.Settings.MaxAttempts
 	p.platformFront.SetClasses(classNames(p.gateway.Classes()))
 	p.pool.SetAnswerTimeout(p.longestDeadline())
 	p.discovery.SetAddress(cfg.Journal)
-	p.reloadSignedFront(op.SignedFront)
 	if p.cluster != nil {
 		p.cluster.ReconfigureClasses(cfg.Settings.Classes)
 	}
-	p.log.Info(logfields.Reloaded)
-	return nil
+}
+
+// reportReload counts and logs a reload. One of which a file was rejected counts as rejected.
+func (p *program) reportReload(f *reloadedFiles) {
+	if f.platformErr == nil && f.operatorErr == nil {
+		p.reloads++
+		p.log.Info(logfields.Reloaded)
+		return
+	}
+	p.rejectedReloads++
+	log := p.log.WithError(errors.Join(f.platformErr, f.operatorErr))
+	switch {
+	case f.platformErr == nil:
+		log = log.WithField(logfields.Detail, "the platform's file was applied")
+	case f.operatorErr == nil && p.operatorPath != "":
+		log = log.WithField(logfields.Detail, "the operator's file was applied")
+	}
+	log.Error(logfields.ReloadRejected)
 }
 
 // warnRestartKeys logs the keys whose changed values take effect only at the next start.
-func (p *program) warnRestartKeys(cfg *config.Gateway, op *config.Operator) {
-	keys := p.cfg.ChangedRestartKeys(cfg)
-	if !p.operator.SameRestartSettings(op) {
+func (p *program) warnRestartKeys(f *reloadedFiles) {
+	var keys []string
+	if f.platformErr == nil {
+		keys = p.cfg.ChangedRestartKeys(f.platform)
+	}
+	if f.operatorErr == nil && !p.operator.SameRestartSettings(f.operator) {
 		keys = append(keys, "listeners, overload, localities, state or fleet of the operator's file")
 	}
 	if len(keys) > 0 {
@@ -92,7 +142,7 @@
 	switch {
 	case p.signedFront == nil:
 	case signed == nil && !p.signedFrontClosed:
-		p.signedFrontClosed = true
+		p.signedConfig, p.signedFrontClosed = nil, true
 		p.signedListener.Close()
 		p.signedFront.Retire()
 		p.log.Warn(logfields.ReloadSignedFrontClosed)
@@ -102,10 +152,11 @@
 		settings := p.cfg.Settings
 		settings.Classes = p.gateway.Classes()
 		api, err := newSignedAPI(signed, settings)
-		if err != nil { // unexpected: applyReload has checked the same configuration
+		if err != nil { // unexpected: checkOperatorFile has checked the same configuration
 			p.log.WithError(err).Error(logfields.ReloadSignedFailed)
 			return
 		}
+		p.signedConfig = signed
 		p.signedFront.SetAPI(api)
 	}
 }
--- a/gateway/localities.go
+++ b/gateway/localities.go
@@ -91,8 +91,8 @@
 	return locality.DefaultTick
 }
 
-// checkLocalities returns an error if a configuration of localities cannot replace the present one.
-func (g *Gateway) checkLocalities(cfg locality.Config) error {
+// CheckLocalities returns an error if a configuration of localities cannot replace the present one.
+func (g *Gateway) CheckLocalities(cfg locality.Config) error {
 	var names []string
 	for _, l := range cfg.Localities {
 		names = append(names, l.Name)
@@ -110,7 +110,7 @@
 // ReconfigureLocalities replaces the limits, ramps and weights of the localities, which must be
 // those of the start. If it returns an error, nothing has changed.
 func (g *Gateway) ReconfigureLocalities(cfg locality.Config) error {
-	if err := g.checkLocalities(cfg); err != nil {
+	if err := g.CheckLocalities(cfg); err != nil {
 		return err
 	}
 	if err := g.localityPolicy.Reconfigure(g.localityConfig(cfg, g.classOrder().Bands())); err != nil {
--- a/gateway/reconfigure.go
+++ b/gateway/reconfigure.go
@@ -85,7 +85,7 @@
 // returns an error and nothing has changed.
 func (g *Gateway) Reconfigure(r Reconfiguration) error {
 	if r.Localities != nil {
-		if err := g.checkLocalities(*r.Localities); err != nil {
+		if err := g.CheckLocalities(*r.Localities); err != nil {
 			return err
 		}
 	}
--- a/test/reload_test.go
+++ b/test/reload_test.go
@@ -180,3 +180,58 @@
 		t.Errorf("token of a removed key: status %d, want 403", status)
 	}
 }
+
+// Guards against a fault in one of the two files that keeps the other from being applied: while an operator's file is
+// faulty the journal service's new address must be used, and while the platform's file is faulty a key that was removed from
+// the operator's must be rejected. A reload with a faulty file counts as rejected.
+func TestReloadAppliesOneFileDespiteFaultInOther(t *testing.T) {
+	var console string
+	r, addr := signedRig(t, "", func(r *rig) { console = r.withConsole() })
+	w := newHTTPConn(t, addr)
+	uri := strings.TrimPrefix(signer(t, signedKeys, "old")(signedurl.Order{Target: "/films/" + object + "/3?shard=17",
+		Expiry: time.Now().Add(time.Minute)}), base)
+	status := func() int {
+		status, _, _ := w.get("GET", uri)
+		return status
+	}
+	operatorFile, err := os.ReadFile(r.args[2])
+	if err != nil {
+		t.Fatal(err)
+	}
+	writeOperatorFile := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(r.args[2], []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	second := newJournal(t)
+	r.config["journal"] = second.Addr
+	r.writeConfig()
+	writeOperatorFile("signed_front {")
+	r.signal(syscall.SIGHUP)
+	if line := r.waitForLog("msg=\"reload rejected\""); !strings.Contains(line, r.args[2]) || !strings.Contains(line, "platform's file was applied") {
+		t.Errorf("reload with a faulty operator's file: log line %s; want it to name that file, and that the other was applied", line)
+	}
+	receive(t, second.Connected)
+	if got := status(); got != http.StatusOK {
+		t.Errorf("signed request after a reload with a faulty operator's file: status %d, want 200 by the former keys", got)
+	}
+
+	r.log.Reset()
+	r.config["journal"] = "nowhere"
+	r.writeConfig()
+	writeOperatorFile(strings.Replace(string(operatorFile), `"old"`, `"older"`, 1))
+	r.signal(syscall.SIGHUP)
+	if line := r.waitForLog("msg=\"reload rejected\""); !strings.Contains(line, "journal") || !strings.Contains(line, "operator's file was applied") {
+		t.Errorf("reload with a faulty platform's file: log line %s; want it to name the key, and that the other file was applied", line)
+	}
+	if got := status(); got != http.StatusForbidden {
+		t.Errorf("token of a removed key after a reload with a faulty platform's file: status %d, want 403", got)
+	}
+	second.Publish(2, `"expire":{"set":40,"stamp":1}`)
+	eventually(t, "the event of the journal in use has been processed", func() bool { return r.counter("purges") == 1 })
+	if got := r.consoleStats(console); got["reload_success"] != 0 || got["reload_failure"] != 2 {
+		t.Errorf("%d reloads accepted, %d rejected; want 0 and 2", got["reload_success"], got["reload_failure"])
+	}
+}
