Upgrade: the old process does not wait for a successor that does not read connections

Callers saw: with a successor that stopped running after its yes, and some hundreds of connections, no answer for up to 4.5 s, and closed connections.

Cause: the loop waited up to 20 ms for the successor at each connection.

Change: sending does not wait. If the socket between the processes is full, connections stay, are served here as any that cannot migrate, and are tried again after 20 ms.

--- a/cmd/larchusher/predecessor.go
+++ b/cmd/larchusher/predecessor.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
 	"time"
 
 	"larchusher/internal/hotrestart"
 	"larchusher/internal/logfields"
+	"larchusher/internal/net/msgpackrpc"
 	"larchusher/internal/net/transport"
 )
 
@@ -60,7 +63,11 @@
 		buffered = append(buffered, hotrestart.BufferedInput{Data: chunk.Data, Age: now.Sub(chunk.At)})
 	}
 	addr := p.platformListener.Addr().String()
-	return conn.Detach(func(descriptor int) error { return p.successor.Migrate(addr, buffered, descriptor) })
+	err := conn.Detach(func(descriptor int) error { return p.successor.Migrate(addr, buffered, descriptor) })
+	if errors.Is(err, hotrestart.ErrSuccessorBusy) {
+		return fmt.Errorf("%w: %w", msgpackrpc.ErrMigrateLater, err)
+	}
+	return err
 }
 
 // migrateToSuccessor shuts down in favour of the successor. This process stops accepting connections. Each connection to the
--- a/internal/hotrestart/hotrestart_test.go
+++ b/internal/hotrestart/hotrestart_test.go
@@ -264,3 +264,52 @@
 		}
 	}
 }
+
+// A successor that does not read must not block its predecessor: Migrate must report that it is busy, at once, and work again
+// once the successor has read.
+func TestMigrateDoesNotBlock(t *testing.T) {
+	const longest = time.Second // far above the time of all calls, and below that of waiting for each
+	ends, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_SEQPACKET|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns := make([]*net.UnixConn, 2)
+	for i, fd := range ends {
+		file := os.NewFile(uintptr(fd), "link")
+		conn, err := net.FileConn(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		closeAtEnd(t, file)
+		closeAtEnd(t, conn)
+		conns[i] = conn.(*net.UnixConn)
+	}
+	link, receiver := &Link{conns[0]}, &Receiver{conn: conns[1], data: make([]byte, maxPacketBytes)}
+	devNull, err := os.Open(os.DevNull)
+	if err != nil {
+		t.Fatal(err)
+	}
+	closeAtEnd(t, devNull)
+	start, sent := time.Now(), 0
+	for ; err == nil && sent < 1e5; sent++ {
+		err = link.Migrate("where", nil, int(devNull.Fd()))
+	}
+	for range 100 {
+		if err := link.Migrate("where", nil, int(devNull.Fd())); !errors.Is(err, ErrSuccessorBusy) {
+			t.Fatalf("Migrate after %d packets that were not read: error %v, want ErrSuccessorBusy", sent, err)
+		}
+	}
+	if took := time.Since(start); took > longest {
+		t.Errorf("%d calls took %v, want none of them to wait", sent+100, took)
+	}
+	for range sent - 1 { // the last one was not sent
+		migrated, err := receiver.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = migrated.File.Close() // nothing was written to it
+	}
+	if err := link.Migrate("where", nil, int(devNull.Fd())); err != nil {
+		t.Errorf("Migrate after the successor has read: error %v, want none", err)
+	}
+}
--- a/internal/hotrestart/link.go
+++ b/internal/hotrestart/link.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -19,8 +20,6 @@
 const (
 	maxSocketsPerPacket = 64
 	maxPacketBytes      = 192 << 10 // without the descriptors
-	// sendTimeout bounds the wait for a successor that does not read. It is short because the sender may still have to serve requests.
-	sendTimeout = 20 * time.Millisecond
 )
 
 // Socket is a listening socket to be handed over to a successor. The connections in its accept queue are handed over with it.
@@ -77,7 +76,8 @@
 }
 
 // Migrate sends a client's connection to the successor, which first processes the inputs and then reads from the connection. The
-// caller keeps its descriptor. It fails if the packet is too long, or the successor has not read it within sendTimeout.
+// caller keeps its descriptor. It does not block: it fails with [ErrSuccessorBusy] if the successor has to read earlier packets
+// first, after which it may be called again. It also fails if the packet is too long.
 func (l *Link) Migrate(addr string, inputs []BufferedInput, descriptor int) error {
 	return l.send(packet{Addrs: []string{addr}, Pieces: inputs}, []int{descriptor})
 }
@@ -90,13 +90,32 @@
 	if len(data) > maxPacketBytes || len(descriptors) > maxSocketsPerPacket {
 		return fmt.Errorf("handover: %d sockets and %d bytes exceed the limits of a packet, 64 sockets and 192 KiB", len(descriptors), len(data))
 	}
-	_ = l.conn.SetWriteDeadline(time.Now().Add(sendTimeout)) // an error means that the connection is closed, which the write reports
-	if _, _, err := l.conn.WriteMsgUnix(data, unix.UnixRights(descriptors...), nil); err != nil {
+	if err := l.sendNow(data, unix.UnixRights(descriptors...)); err != nil {
 		return fmt.Errorf("handover: sending sockets to the successor: %w", err)
 	}
 	return nil
 }
 
+// sendNow sends one packet without waiting for the successor.
+func (l *Link) sendNow(data, control []byte) error {
+	raw, err := l.conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var sendErr error
+	err = raw.Write(func(fd uintptr) (done bool) {
+		sendErr = unix.Sendmsg(int(fd), data, control, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+		return true
+	})
+	if slices.ContainsFunc(temporarySendErrors, func(e error) bool { return errors.Is(sendErr, e) }) {
+		sendErr = fmt.Errorf("%w: %w", ErrSuccessorBusy, sendErr)
+	}
+	return errors.Join(err, sendErr)
+}
+
+// temporarySendErrors are the errors of sendmsg(2) that pass once the successor has read earlier packets, or the kernel has memory.
+var temporarySendErrors = []error{unix.EAGAIN, unix.ETOOMANYREFS, unix.ENOBUFS, unix.ENOMEM, unix.EINTR}
+
 // Close closes the link. The successor keeps what was sent.
 func (l *Link) Close() { _ = l.conn.Close() } // everything was sent when Migrate returned, so an error has no effect
 
--- a/internal/hotrestart/process.go
+++ b/internal/hotrestart/process.go
@@ -20,6 +20,7 @@
 	ErrTooManyProcesses = errors.New("two processes of this gateway are running already")
 	ErrFolderNotPrivate = errors.New("handover folder is not a folder that belongs to this user and is closed to others")
 	ErrNoState          = errors.New("active process handed over no state: it did not answer in time, or has ended")
+	ErrSuccessorBusy    = errors.New("successor has not read earlier connections yet")
 	ErrNoSockets        = errors.New("state was handed over without sockets")
 )
 
--- a/internal/net/msgpackrpc/front.go
+++ b/internal/net/msgpackrpc/front.go
@@ -35,6 +35,7 @@
 	buffering        atomic.Bool  // set by BufferRequests
 	maxBufferedBytes atomic.Int64 // limit of bufferedBytes
 	bufferedBytes    atomic.Int64 // bytes of input buffered for the successor process on all connections
+	migrateAfter     time.Time    // until when no connection is migrated, since the successor takes none; used by the loop
 
 	classes atomic.Pointer[map[string]string] // class names, interned so that requests share the strings
 
--- a/internal/net/msgpackrpc/migration.go
+++ b/internal/net/msgpackrpc/migration.go
@@ -1,6 +1,7 @@
 package msgpackrpc
 
 import (
+	"errors"
 	"time"
 
 	"larchusher/internal/logfields"
@@ -12,7 +13,14 @@
 // then reached the loop. The descriptor leaves the poller only once the successor has it. Where a connection has to wait for
 // long, its input does not: this process handles it.
 
-// MigrateFunc sends a connection and its unhandled input to the successor.
+// ErrMigrateLater reports that the successor does not take connections at the moment.
+var ErrMigrateLater = errors.New("successor takes no connection at the moment")
+
+// migrationBackoff is the time without migrations after ErrMigrateLater.
+const migrationBackoff = 20 * time.Millisecond
+
+// MigrateFunc sends a connection and its unhandled input to the successor. After an error that wraps [ErrMigrateLater] it is
+// called again later.
 type MigrateFunc func(tc *transport.Conn, received []transport.ReceivedChunk) error
 
 // MigrateIdle starts to migrate each connection without open requests, and returns how many connections have not
@@ -38,7 +46,7 @@
 // buffered for maxWait.
 func (c *conn) migrateOrHandle(migrate MigrateFunc, maxWait time.Duration) {
 	switch {
-	case c.canMigrate():
+	case c.canMigrate() && c.front.mayMigrate():
 		c.pauseAndMigrate(migrate)
 	case c.waitedFor(maxWait):
 		c.handleBufferedSoon()
@@ -50,6 +58,9 @@
 	return len(c.open) == 0 && c.postedBatches.Load() == 0 && c.tc.UnsentBytes() == 0
 }
 
+// mayMigrate reports whether connections may be migrated at the moment.
+func (f *Front) mayMigrate() bool { return !f.loop.Now().Before(f.migrateAfter) }
+
 // pauseAndMigrate pauses reading and then migrates the connection if that is still possible.
 func (c *conn) pauseAndMigrate(migrate MigrateFunc) {
 	c.migrating = true
@@ -64,18 +75,22 @@
 
 // migratePaused migrates the connection, of which nothing is read at present, or resumes reading.
 func (c *conn) migratePaused(migrate MigrateFunc) {
-	if c.closed || c.tc.Closing() || !c.canMigrate() {
+	if c.closed || c.tc.Closing() || !c.canMigrate() || !c.front.mayMigrate() {
 		c.tc.ResumeReading()
 		return
 	}
-	if err := migrate(c.tc, c.unhandledInput()); err != nil {
+	switch err := migrate(c.tc, c.unhandledInput()); {
+	case err == nil:
+		c.migrated = true
+		c.releaseBuffer()
+	case errors.Is(err, ErrMigrateLater):
+		c.front.migrateAfter = c.front.loop.Now().Add(migrationBackoff)
+		c.tc.ResumeReading()
+	default:
 		c.front.log.WithError(err).Warn(logfields.ConnMigrationFailed)
 		c.migrationFailed.Store(true)
 		c.handleBufferedSoon()
-		return
 	}
-	c.migrated = true
-	c.releaseBuffer()
 }
 
 // handleBufferedSoon has the poller handle the buffered input in this process, and resumes reading. The connection does
--- a/test/upgrade_test.go
+++ b/test/upgrade_test.go
@@ -500,6 +500,88 @@
 	}
 }
 
+// Guards against a predecessor that blocks while it hands connections over to a successor that has stopped reading them:
+// requests that come meanwhile must be answered within their time limits.
+func TestUpgradeServesWhileSuccessorHangs(t *testing.T) {
+	const (
+		idleConns = 500 // more than the socket between the processes holds
+		limit     = time.Second
+	)
+	r := newRig(t).withSharedTempDir().start()
+	var idle []*client
+	for range idleConns {
+		idle = append(idle, r.client())
+	}
+	idle[idleConns-1].send("images", object, limit, "")
+	idle[idleConns-1].readAnswer() // the front has registered all connections
+	pending := make(chan *storeRequest, 10)
+	r.setHandler(func(a *storeRequest) {
+		if a.Fields["lane"] == "films" {
+			pending <- a
+			return
+		}
+		serveHit(a)
+	})
+	c := r.client()
+	film := c.send("films", object, 5*time.Second, "")
+	open := receive(t, pending)
+	second, _ := r.startSuccessor()
+	second.signal(syscall.SIGSTOP)
+	t.Cleanup(func() { _ = second.cmd.Process.Signal(syscall.SIGCONT) })
+	r.signal(syscall.SIGTERM)
+	r.waitForLog("msg=\"upgrade: migrating clients\"")
+	for i := range 10 {
+		sent := time.Now()
+		id := c.send("images", fmt.Sprintf("%016x", i), limit, "")
+		if a := c.readAnswer(); a.id != id || a.err != "" || time.Since(sent) > limit {
+			t.Errorf("round %d: answer %+v after %v, want answer %d without an error within %v", i, a, time.Since(sent), id, limit)
+		}
+		time.Sleep(time.Until(sent.Add(100 * time.Millisecond)))
+	}
+	serveHit(open)
+	if a := c.readAnswer(); a.id != film || a.err != "" {
+		t.Errorf("answer %+v to the film, want answer %d without an error", a, film)
+	}
+}
+
+// Guards against the loss of input that was buffered for a successor which ends before it gets the connection: the
+// predecessor must handle it.
+func TestUpgradeServesBufferedRequestsIfSuccessorEnds(t *testing.T) {
+	r := newRig(t).withSharedTempDir().start()
+	pending := make(chan *storeRequest, 10)
+	r.setHandler(func(a *storeRequest) { pending <- a })
+	c := r.client()
+	film := c.send("films", object, 5*time.Second, "")
+	open := receive(t, pending)
+	second, _ := r.startSuccessor()
+	r.signal(syscall.SIGTERM)
+	r.waitForLog("msg=\"upgrade: migrating clients\"")
+	if err := second.cmd.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	if err := second.waitExit(); err == nil {
+		t.Fatal("the successor exited with status 0, want it killed")
+	}
+	r.setHandler(serveHit)
+	image := c.send("images", "00000000000000aa", 2*time.Second, "")
+	time.Sleep(10 * time.Millisecond) // the predecessor has read and buffered it
+	serveHit(open)
+	got := map[int]answer{}
+	for range 2 {
+		a := c.readAnswer()
+		got[a.id] = a
+	}
+	for _, id := range []int{film, image} {
+		if a, ok := got[id]; !ok || a.err != "" {
+			t.Errorf("answers %+v, want one without an error to request %d", got, id)
+		}
+	}
+	c.expectClosed()
+	if err := r.waitExit(); err != nil {
+		t.Errorf("the predecessor exited with %v, want status 0", err)
+	}
+}
+
 // Predecessor and successor together must not exceed the budget of a cold store. After the state is handed over, the cold
 // store must get no requests for a whole overload window (the test checks the first four fifths of it), and then get some
 // again.
