Upgrade: buffered input reaches the loop as one batch, so that its cancels are known first

A request and its cancel that were buffered in two reads were posted to the loop one after the other, and the request could start in between. Found by reading; not seen over sockets, where the window is some microseconds.

--- a/internal/net/msgpackrpc/batch.go
+++ b/internal/net/msgpackrpc/batch.go
@@ -23,20 +23,32 @@
 	if c.buffersInput() {
 		return c.bufferInput(tc, b, at)
 	}
-	return c.handleInput(tc, b, at)
+	return c.handleInput(tc, transport.ReceivedChunk{Data: b, At: at})
 }
 
-// handleInput splits input into messages and posts them to the loop. Requests that are shed are rejected here, on the
-// poller goroutine, and cost the loop nothing.
-func (c *conn) handleInput(tc *transport.Conn, b []byte, at time.Time) error {
-	if len(c.buf) > 0 {
-		c.buf = append(c.buf, b...)
-		b = c.buf
+// OnMigrated handles input that the predecessor process has read and not handled. All of it becomes one batch, so that no
+// request starts before the loop knows of a cancel behind it.
+func (c *conn) OnMigrated(tc *transport.Conn, chunks []transport.ReceivedChunk) error {
+	if !c.buffersInput() {
+		return c.handleInput(tc, chunks...)
+	}
+	for _, chunk := range chunks { // this process is about to end as well
+		if err := c.bufferInput(tc, chunk.Data, chunk.At); err != nil {
+			return err
+		}
 	}
+	return nil
+}
+
+// handleInput splits input into messages and posts them to the loop as one batch. Requests that are shed are rejected here,
+// on the poller goroutine, and cost the loop nothing.
+func (c *conn) handleInput(tc *transport.Conn, chunks ...transport.ReceivedChunk) error {
 	received := &batch{}
-	rest := c.readMessages(tc, b, at, received)
-	received.partial = len(rest) > 0
-	c.saveRemainder(rest)
+	for _, chunk := range chunks {
+		if received.err == nil {
+			c.readChunk(tc, chunk, received)
+		}
+	}
 	if len(received.rejections) > 0 && received.err == nil {
 		received.err = tc.Write(received.rejections)
 	}
@@ -49,6 +61,18 @@
 	return received.err
 }
 
+// readChunk parses the messages in the input of one read into dst, and keeps an incomplete one at its end.
+func (c *conn) readChunk(tc *transport.Conn, chunk transport.ReceivedChunk, dst *batch) {
+	b := chunk.Data
+	if len(c.buf) > 0 {
+		c.buf = append(c.buf, b...)
+		b = c.buf
+	}
+	rest := c.readMessages(tc, b, chunk.At, dst)
+	dst.partial = len(rest) > 0
+	c.saveRemainder(rest)
+}
+
 // onlyShed reports whether the batch has shed requests and nothing for the loop to do.
 func (b *batch) onlyShed() bool {
 	return b.shed > 0 && len(b.messages) == 0 && !b.partial && b.err == nil
--- a/internal/net/msgpackrpc/buffering.go
+++ b/internal/net/msgpackrpc/buffering.go
@@ -64,10 +64,7 @@
 // process handles all input of the connection that it has. It runs on the poller goroutine.
 func (c *conn) bufferInput(tc *transport.Conn, b []byte, at time.Time) error {
 	if !c.reserveBuffer(len(b)) {
-		if err := c.handleBuffered(tc); err != nil {
-			return err
-		}
-		return c.handleInput(tc, b, at)
+		return c.handleBuffered(tc, transport.ReceivedChunk{Data: b, At: at})
 	}
 	if len(c.bufferedChunks) == 0 {
 		c.bufferTimes.since.Store(int64(at.Sub(c.front.startedAt)))
@@ -75,7 +72,7 @@
 	c.bufferedChunks = append(c.bufferedChunks, bufferedChunk{size: len(b), at: at})
 	c.buf = append(c.buf, b...)
 	if cancels := c.scanBuffered(at); len(cancels) > 0 {
-		c.post(tc, &batch{messages: cancels})
+		c.post(tc, &batch{messages: cancels, partial: c.partial})
 	}
 	return nil
 }
@@ -98,21 +95,28 @@
 // releaseBuffer releases all bytes that reserveBuffer has reserved for the connection.
 func (c *conn) releaseBuffer() { c.front.bufferedBytes.Add(-c.bufferedBytes.Swap(0)) }
 
-// handleBuffered handles the buffered input in this process. It runs on the poller goroutine.
-func (c *conn) handleBuffered(tc *transport.Conn) error {
-	before, input := c.splitBuffer()
-	chunks := c.bufferedChunks
+// handleBuffered handles the buffered input in this process, followed by further input. It runs on the poller goroutine.
+func (c *conn) handleBuffered(tc *transport.Conn, further ...transport.ReceivedChunk) error {
+	before, _ := c.splitBuffer()
+	chunks := append(c.bufferedInput(), further...)
+	if len(chunks) == 0 {
+		return nil
+	}
 	c.buf = slices.Clone(before)
 	c.bufferedChunks, c.scannedBytes = nil, 0
 	c.bufferTimes.clear()
 	c.releaseBuffer()
-	for _, chunk := range chunks {
-		if err := c.handleInput(tc, input[:chunk.size], chunk.at); err != nil {
-			return err
-		}
+	return c.handleInput(tc, chunks...)
+}
+
+// bufferedInput returns the buffered input. It stays valid until buf changes.
+func (c *conn) bufferedInput() (all []transport.ReceivedChunk) {
+	_, input := c.splitBuffer()
+	for _, chunk := range c.bufferedChunks {
+		all = append(all, transport.ReceivedChunk{Data: input[:chunk.size], At: chunk.at})
 		input = input[chunk.size:]
 	}
-	return nil
+	return all
 }
 
 // splitBuffer splits buf into the incomplete message from before buffering began, and the buffered input.
--- a/internal/net/msgpackrpc/migration.go
+++ b/internal/net/msgpackrpc/migration.go
@@ -25,7 +25,8 @@
 
 // MigrateIdle starts to migrate each connection without open requests, and returns how many connections have not
 // migrated yet. It is to be called every few milliseconds. On a connection that cannot migrate, input is buffered for up to
-// maxWait, and a request for no more than a share of its time limit; then it is handled here. A connection for which migrate has failed is served here, and closed once it is idle.
+// maxWait, and a request for no more than a share of its time limit; then it is handled here. A connection for which migrate
+// has failed is served here, and closed once it is idle.
 func (f *Front) MigrateIdle(migrate MigrateFunc, maxWait time.Duration) (left int) {
 	for c := range f.conns {
 		if c.tc.Closing() || c.migrated {
@@ -109,15 +110,10 @@
 
 // unhandledInput returns the input that has been read and not handled. Reading must be paused.
 func (c *conn) unhandledInput() (all []transport.ReceivedChunk) {
-	before, input := c.splitBuffer()
-	if len(before) > 0 {
+	if before, _ := c.splitBuffer(); len(before) > 0 {
 		// The beginning of a message. Its arrival time does not matter: a request's time limit counts from its last
 		// byte.
 		all = append(all, transport.ReceivedChunk{Data: before, At: c.front.loop.Now()})
 	}
-	for _, chunk := range c.bufferedChunks {
-		all = append(all, transport.ReceivedChunk{Data: input[:chunk.size], At: chunk.at})
-		input = input[chunk.size:]
-	}
-	return all
+	return append(all, c.bufferedInput()...)
 }
--- a/internal/net/transport/listener.go
+++ b/internal/net/transport/listener.go
@@ -160,11 +160,8 @@
 	}
 	c.paused.Store(len(chunks) > 0) // nothing is read from the socket before the chunks are handled
 	l.engine.add(c)
-	for _, p := range chunks {
-		if err := h.OnBytes(c, p.Data, p.At); err != nil {
-			c.CloseGracefully(err, shortLinger)
-			break
-		}
+	if err := passChunks(h, c, chunks); err != nil {
+		c.CloseGracefully(err, shortLinger)
 	}
 	c.paused.Store(false)
 	c.settingUp.Store(false)
@@ -173,6 +170,19 @@
 	}
 }
 
+// passChunks passes input that another process has read to a handler.
+func passChunks(h Handler, c *Conn, chunks []ReceivedChunk) error {
+	if m, ok := h.(MigrationHandler); ok && len(chunks) > 0 {
+		return m.OnMigrated(c, chunks)
+	}
+	for _, p := range chunks {
+		if err := h.OnBytes(c, p.Data, p.At); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Addr returns the address of the listening socket.
 func (l *Listener) Addr() net.Addr { return l.tcp.Addr() }
 
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -49,6 +49,12 @@
 // connection can be written.
 type WriteReadyHandler interface{ OnReady(c *Conn) }
 
+// MigrationHandler is implemented by handlers that take the input that another process has read all at once. OnMigrated is
+// called in place of OnBytes for it. An error closes the connection.
+type MigrationHandler interface {
+	OnMigrated(c *Conn, chunks []ReceivedChunk) error
+}
+
 // Engine owns the poller and all connections of a process. Its methods may be called from any goroutine, except that
 // calls of Inherit and Listen must not run concurrently.
 type Engine struct {
--- a/test/upgrade_test.go
+++ b/test/upgrade_test.go
@@ -582,6 +582,52 @@
 	}
 }
 
+// Guards against an attempt for a request that was cancelled while it was buffered: the cancel arrives in a later read, and
+// must take effect before the request starts, in the successor after a migration and in the predecessor otherwise.
+func TestUpgradeHeedsCancelOfBufferedRequest(t *testing.T) {
+	const (
+		conns   = 12                   // few enough for the stores' limits, as their films stay open
+		between = 5 * time.Millisecond // so that a request and its cancel are read one after the other
+	)
+	r := newRig(t).withSharedTempDir().start()
+	pending := make(chan *storeRequest, conns)
+	r.setHandler(func(a *storeRequest) { pending <- a })
+	var clients []*client
+	open := map[string]*storeRequest{}
+	for i := range conns {
+		c := r.client()
+		c.send("films", fmt.Sprintf("%016x", i), 5*time.Second, "")
+		a := receive(t, pending)
+		open[a.Fields["name"]] = a
+		clients = append(clients, c)
+	}
+	r.startSuccessor()
+	r.signal(syscall.SIGTERM)
+	r.waitForLog("msg=\"upgrade: migrating clients\"")
+	r.setHandler(serveHit)
+	for i, c := range clients {
+		id := c.send("images", fmt.Sprintf("%016x", 1000+i), 2*time.Second, "")
+		time.Sleep(between)
+		c.write(append([]byte{0x93, 2}, append(packString("cancelRequest"), 0x91, byte(id))...))
+		time.Sleep(between)
+		if i%2 == 0 { // the connection migrates
+			serveHit(open[fmt.Sprintf("%016x", i)])
+			if a := c.readAnswer(); a.err != "" {
+				t.Errorf("client %d: answer %+v to the film, want no error", i, a)
+			}
+		}
+	}
+	for i, c := range clients { // the answer to a later request comes after what was buffered has been handled
+		c.send("images", fmt.Sprintf("%016x", 2000+i), 2*time.Second, "")
+		if a := c.readAnswer(); a.err != "" {
+			t.Errorf("client %d: answer %+v to a later request, want no error", i, a)
+		}
+		if n := len(r.storeRequests(fmt.Sprintf("%016x", 1000+i))); n != 0 {
+			t.Errorf("client %d: the cancelled request reached stores %d times, want 0", i, n)
+		}
+	}
+}
+
 // Predecessor and successor together must not exceed the budget of a cold store. After the state is handed over, the cold
 // store must get no requests for a whole overload window (the test checks the first four fifths of it), and then get some
 // again.
