--- a/cmd/larchusher/predecessor.go
+++ b/cmd/larchusher/predecessor.go
@@ -93,6 +93,7 @@
 	migrateInterval = 2 * time.Millisecond   // interval of polling for idle connections
 	maxBufferTime   = 50 * time.Millisecond  // longest wait of input for its connection to become idle; then it is handled here
 	lastBufferTime  = 400 * time.Millisecond // at the end input waits for up to this, since what is begun here may be cut short
+	unreadDrainTime = 2 * time.Second        // at the end in which no request is begun behind unread answers, so that these can be written
 	migrationGrace  = 50 * time.Millisecond  // to migrate connections after the last requests were answered as expired
 )
 
@@ -120,18 +121,18 @@
 		return p.platformFront.CloseIdle()
 	}
 	p.platformFront.BufferRequests(int64(p.memoryFraction(migratingInputDivisor)))
-	return p.platformFront.MigrateIdle(p.migrateConn, bufferTime(now, latest))
+	return p.platformFront.MigrateIdle(p.migrateConn, bufferPolicy(latest.Sub(now)))
 }
 
-// bufferTime returns for how long input may wait for its connection to become idle, in a process that answers its open requests as
-// expired at latest.
-func bufferTime(now, latest time.Time) time.Duration {
-	switch left := latest.Sub(now); {
+// bufferPolicy returns what becomes of input on connections that cannot migrate yet, in a process that answers its open requests
+// as expired after the time left.
+func bufferPolicy(left time.Duration) msgpackrpc.BufferPolicy {
+	policy := msgpackrpc.BufferPolicy{MaxWait: maxBufferTime, MaxWaitUnread: unreadDrainTime, RejectUnread: left <= unreadDrainTime}
+	switch {
 	case left <= 0:
-		return 0
+		policy.MaxWait, policy.MaxWaitUnread = 0, 0
 	case left <= lastBufferTime:
-		return lastBufferTime
-	default:
-		return maxBufferTime
+		policy.MaxWait = lastBufferTime
 	}
+	return policy
 }
--- a/internal/net/msgpackrpc/conn.go
+++ b/internal/net/msgpackrpc/conn.go
@@ -34,6 +34,7 @@
 	closed    bool // the connection is closed
 	migrating bool // the poller was asked to pause reading, so that the connection can migrate
 	migrated  bool // it was migrated to another process
+	rejecting bool // requests are rejected, so that the connection can migrate
 }
 
 // idle reports whether no request is open and all input has been handled.
@@ -137,13 +138,17 @@
 	return true
 }
 
-// submit submits a request to the gateway, or rejects it if maxOpenPerConn requests are open on the connection.
+// submit submits a request to the gateway, or rejects it if maxOpenPerConn requests are open on the connection or the
+// connection is to migrate first.
 func (c *conn) submit(m clientMessage) {
 	r := m.request
-	if len(c.open) >= maxOpenPerConn {
+	switch {
+	case len(c.open) >= maxOpenPerConn:
 		c.front.TooManyOpen++
-		c.front.gateway.CountAnswer(r.Class, gateway.Answer{Outcome: gateway.OutcomeRejected})
-		c.write(appendRejection(nil, m.id, c.front.gateway.RetryAfter(r.ID)))
+		c.reject(m)
+		return
+	case c.rejecting:
+		c.reject(m)
 		return
 	}
 	r.Client = c.client
@@ -153,6 +158,12 @@
 	c.front.gateway.Submit(r)
 }
 
+// reject rejects a request that was not submitted to the gateway.
+func (c *conn) reject(m clientMessage) {
+	c.front.gateway.CountAnswer(m.request.Class, gateway.Answer{Outcome: gateway.OutcomeRejected})
+	c.write(appendRejection(nil, m.id, c.front.gateway.RetryAfter(m.request.ID)))
+}
+
 // writeAnswer writes the final answer to a request, unless the connection is closed.
 func (c *conn) writeAnswer(id uint64, a gateway.Answer) {
 	delete(c.open, id)
--- a/internal/net/msgpackrpc/migration.go
+++ b/internal/net/msgpackrpc/migration.go
@@ -23,11 +23,18 @@
 // called again later.
 type MigrateFunc func(tc *transport.Conn, received []transport.ReceivedChunk) error
 
-// MigrateIdle starts to migrate each connection without open requests, and returns how many connections have not
-// migrated yet. It is to be called every few milliseconds. On a connection that cannot migrate, input is buffered for up to
-// maxWait, and a request for no more than a share of its time limit; then it is handled here. A connection for which migrate
-// has failed is served here, and closed once it is idle.
-func (f *Front) MigrateIdle(migrate MigrateFunc, maxWait time.Duration) (left int) {
+// BufferPolicy says what becomes of input on connections that cannot migrate yet. Whatever it says, a request is buffered
+// for no more than a share of its time limit.
+type BufferPolicy struct {
+	MaxWait       time.Duration // after which input is handled here
+	MaxWaitUnread time.Duration // the same while answers wait to be written, because the client has not read earlier ones
+	RejectUnread  bool          // reject requests in that case, so that the answers which wait can be written to their end
+}
+
+// MigrateIdle starts to migrate each connection without open requests and unwritten answers, and returns how many
+// connections have not migrated yet. It is to be called every few milliseconds. A connection for which migrate has failed is
+// served here, and closed once it is idle.
+func (f *Front) MigrateIdle(migrate MigrateFunc, policy BufferPolicy) (left int) {
 	for c := range f.conns {
 		if c.tc.Closing() || c.migrated {
 			continue
@@ -37,15 +44,22 @@
 		}
 		left++
 		if !c.migrating && !c.migrationFailed.Load() && !c.tc.SettingUp() {
-			c.migrateOrHandle(migrate, maxWait)
+			c.migrateOrHandle(migrate, policy)
 		}
 	}
 	return left
 }
 
 // migrateOrHandle starts to migrate the connection if that is possible, and else has input handled here that has been
-// buffered for maxWait.
-func (c *conn) migrateOrHandle(migrate MigrateFunc, maxWait time.Duration) {
+// buffered for too long.
+func (c *conn) migrateOrHandle(migrate MigrateFunc, policy BufferPolicy) {
+	maxWait := policy.MaxWait
+	c.rejecting = c.rejecting || policy.RejectUnread
+	if c.tc.UnsentBytes() > 0 {
+		maxWait = policy.MaxWaitUnread
+	} else {
+		c.rejecting = false
+	}
 	switch {
 	case c.canMigrate() && c.front.mayMigrate():
 		c.pauseAndMigrate(migrate)
