--- a/test/upgrade_test.go
+++ b/test/upgrade_test.go
@@ -117,12 +117,13 @@
 func TestUpgradesLoseNoRequests(t *testing.T) {
 	r := newRig(t).withSharedTempDir().start()
 	stop, failed := make(chan struct{}), make(chan string, 100)
+	first := *r // all processes have one address; r changes below
 	var all sync.WaitGroup
 	for n := range 6 {
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			if err := r.sendUntilStopped(n, stop); err != nil {
+			if err := first.sendUntilStopped(n, stop); err != nil {
 				failed <- fmt.Sprintf("client %d failed: %v", n, err)
 			}
 		}()
