--- a/internal/net/msgpackrpc/migration.go
+++ b/internal/net/msgpackrpc/migration.go
@@ -23,10 +23,18 @@
 // called again later.
 type MigrateFunc func(tc *transport.Conn, received []transport.ReceivedChunk) error
 
-// MigrateIdle starts to migrate each connection without open requests, and returns how many connections have not
-// migrated yet. It is to be called every few milliseconds. On a connection that cannot migrate, input is buffered for up to
-// maxWait, and a request for no more than a share of its time limit; then it is handled here. A connection for which migrate has failed is served here, and closed once it is idle.
-func (f *Front) MigrateIdle(migrate MigrateFunc, maxWait time.Duration) (left int) {
+// BufferPolicy says what becomes of input on connections that cannot migrate yet. Whatever it says, a request is buffered
+// for no more than a share of its time limit.
+type BufferPolicy struct {
+	MaxWait       time.Duration // after which input is handled here
+	MaxWaitUnread time.Duration // the same while answers wait to be written, because the client has not read earlier ones
+	RejectUnread  bool          // reject requests in that case, so that the answers which wait can be written to their end
+}
+
+// MigrateIdle starts to migrate each connection without open requests and unwritten answers, and returns how many
+// connections have not migrated yet. It is to be called every few milliseconds. A connection for which migrate has failed is
+// served here, and closed once it is idle.
+func (f *Front) MigrateIdle(migrate MigrateFunc, policy BufferPolicy) (left int) {
 	for c := range f.conns {
 		if c.tc.Closing() || c.migrated {
 			continue
@@ -36,15 +44,22 @@
 		}
 		left++
 		if !c.migrating && !c.migrationFailed.Load() && !c.tc.SettingUp() {
-			c.migrateOrHandle(migrate, maxWait)
+			c.migrateOrHandle(migrate, policy)
 		}
 	}
 	return left
 }
 
 // migrateOrHandle starts to migrate the connection if that is possible, and else has input handled here that has been
-// buffered for maxWait.
-func (c *conn) migrateOrHandle(migrate MigrateFunc, maxWait time.Duration) {
+// buffered for too long.
+func (c *conn) migrateOrHandle(migrate MigrateFunc, policy BufferPolicy) {
+	maxWait := policy.MaxWait
+	c.rejecting = c.rejecting || policy.RejectUnread
+	if c.tc.UnsentBytes() > 0 {
+		maxWait = policy.MaxWaitUnread
+	} else {
+		c.rejecting = false
+	}
 	switch {
 	case c.canMigrate() && c.front.mayMigrate():
 		c.pauseAndMigrate(migrate)
@@ -109,15 +124,10 @@
 
 // unhandledInput returns the input that has been read and not handled. Reading must be paused.
 func (c *conn) unhandledInput() (all []transport.ReceivedChunk) {
-	before, input := c.splitBuffer()
-	if len(before) > 0 {
+	if before, _ := c.splitBuffer(); len(before) > 0 {
 		// The beginning of a message. Its arrival time does not matter: a request's time limit counts from its last
 		// byte.
 		all = append(all, transport.ReceivedChunk{Data: before, At: c.front.loop.Now()})
 	}
-	for _, chunk := range c.bufferedChunks {
-		all = append(all, transport.ReceivedChunk{Data: input[:chunk.size], At: chunk.at})
-		input = input[chunk.size:]
-	}
-	return all
+	return append(all, c.bufferedInput()...)
 }
