--- a/cmd/larchusher/counters.go
+++ b/cmd/larchusher/counters.go
@@ -22,6 +22,7 @@
 	all = append(all, poolMetrics(p.pool.Counters)...)
 	all = append(all, gatewayMetrics(p.gateway)...)
 	all = append(all, memoryMetrics()...)
+	all = append(all, p.budgetMetrics()...)
 	if p.snapshots != nil {
 		all = append(all, p.snapshots.Metrics(p.gateway.DirectorTime(p.loop.Now()))...)
 	}
--- a/cmd/larchusher/predecessor.go
+++ b/cmd/larchusher/predecessor.go
@@ -10,6 +10,7 @@
 	"larchusher/internal/logfields"
 	"larchusher/internal/net/msgpackrpc"
 	"larchusher/internal/net/transport"
+	"larchusher/membudget"
 )
 
 // This file contains the predecessor's part of a hot restart: it hands its state, its listening sockets and its clients'
@@ -120,7 +121,7 @@
 	if p.successor == nil { // not yet, perhaps: the handover may complete only after the shutdown has begun
 		return p.platformFront.CloseIdle()
 	}
-	p.platformFront.BufferRequests(int64(p.memoryFraction(migratingInputDivisor)))
+	p.platformFront.BufferRequests(p.budget.Max(membudget.MigratingInput))
 	return p.platformFront.MigrateIdle(p.migrateConn, bufferPolicy(latest.Sub(now)))
 }
 
--- a/cmd/larchusher/program.go
+++ b/cmd/larchusher/program.go
@@ -14,6 +14,7 @@
 	"larchusher/internal/net/signedfront"
 	"larchusher/internal/net/transport"
 	"larchusher/internal/snapshot"
+	"larchusher/membudget"
 )
 
 // program is the daemon with all of its parts, which start creates and connects. Once the loop runs, the methods run on it unless
@@ -27,6 +28,9 @@
 	operator     *config.Operator // as loaded at the start
 	operatorPath string           // path of the operator's file; empty: none
 
+	budget      *membudget.Budget // memory that other parties make this process hold
+	memoryShare float64           // share of the memory limit that this process may use, from 0 to 1
+
 	gateway   *gateway.Gateway
 	pool      *resp.Pool // connections to endpoints
 	discovery *discovery.Client
--- a/cmd/larchusher/start.go
+++ b/cmd/larchusher/start.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"cmp"
 	"fmt"
 	"time"
 
@@ -12,15 +11,7 @@
 	"larchusher/internal/net/gossip"
 	"larchusher/internal/net/resp"
 	"larchusher/internal/net/transport"
-)
-
-// Divisors of the memory limit that yield the bounds of queues and buffers.
-const (
-	unwrittenDivisor       = 4  // bytes queued to be written to sockets
-	bodiesDivisor          = 6  // bodies of open requests
-	unreadAnswersDivisor   = 5  // answers that clients have not read; overload.answers_mb of the operator's file overrides it
-	endpointAnswersDivisor = 8  // answers that are being received from endpoints
-	migratingInputDivisor  = 32 // input that is buffered for the successor process
+	"larchusher/membudget"
 )
 
 // start creates the parts of the program in the order of their dependencies, and opens all listeners. It is called before the loop
@@ -29,13 +20,15 @@
 	for _, w := range p.cfg.Warnings {
 		p.log.WithField(logfields.Detail, w).Warn(logfields.ConfigCorrected)
 	}
-	p.setMemoryLimit(1)
+	p.budget = membudget.New(0)
+	p.warnSmallMemory()
+	p.useMemory(1)
 	p.eventStreamID = hashInitialState(p.cfg.InitialState)
-	engine, err := transport.New(p.log, p.memoryFraction(unwrittenDivisor))
+	engine, err := transport.New(p.log, p.maxUnwritten())
 	if err != nil {
 		return err
 	}
-	p.engine = engine
+	p.engine, engine.Budget = engine, p.budget
 	if err := p.joinProcess(); err != nil {
 		return err
 	}
@@ -62,6 +55,7 @@
 	if p.migratedConns != nil {
 		go p.adoptConns()
 	}
+	go p.watchMemory()
 	p.log.WithField(logfields.Address, p.platformListener.Addr().String()).Info(logfields.Serving)
 	p.loop.Post(p.startAccepting)
 	return nil
@@ -78,14 +72,6 @@
 	}
 }
 
-// memoryFraction returns the memory limit in bytes, divided by divisor.
-func (p *program) memoryFraction(divisor int) int { return p.cfg.Limits.MemoryMB << 20 / divisor }
-
-// unreadAnswersLimit returns the limit in bytes on the answers that clients have not read.
-func (p *program) unreadAnswersLimit() int64 {
-	return cmp.Or(p.operator.Overload.MemoryLimit, int64(p.memoryFraction(unreadAnswersDivisor)))
-}
-
 // operatorError wraps an error about a value of the operator's file with the path of the file.
 func (p *program) operatorError(err error) error {
 	return fmt.Errorf("operator's file %s: %w", p.operatorPath, err)
@@ -119,7 +105,7 @@
 		KeepAlive:        p.cfg.Sockets.KeepAlive,
 		MaxConns:         p.connQuotas().Endpoints,
 		LoadReportFields: p.cfg.Settings.LoadReportFields,
-		MaxAnswerBytes:   int64(p.memoryFraction(endpointAnswersDivisor)),
+		Budget:           p.budget,
 		AnswerTimeout:    p.longestDeadline(),
 	}
 }
@@ -141,7 +127,7 @@
 		ReadBarrier:     p.engine.Barrier,
 		SizeScale:       p.cfg.SizeScale,
 		MaxOpenRequests: p.cfg.Sockets.MaxOpenRequests,
-		MaxBodyBytes:    p.memoryFraction(bodiesDivisor),
+		Budget:          p.budget,
 	}
 	c.Overload.MemoryLimit = p.unreadAnswersLimit()
 	if p.operator.Cluster != nil { // no endpoint is permitted before the cluster's view of maintenance is known
--- a/cmd/larchusher/successor.go
+++ b/cmd/larchusher/successor.go
@@ -8,7 +8,6 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"runtime/debug"
 	"slices"
 	"strconv"
 	"time"
@@ -33,7 +32,6 @@
 	maxHandedListings    = 20000                 // listings of each director's mapping table that are handed over at most
 	acceptQueueTime      = 50 * time.Millisecond // time in which connections that the kernel has accepted reach the fronts
 	stateFormat          = 1                     // version of handedState; a state of another version is ignored
-	softMemoryShare      = 0.6                   // share of the memory limit that is the Go runtime's soft limit, near which it collects garbage at once
 )
 
 // handedState is the state that a predecessor hands over to its successor, as JSON. Its fields keep their names, since the two
@@ -86,7 +84,7 @@
 	if p.process == nil || !p.process.IsSuccessor() {
 		return known, nil
 	}
-	p.setMemoryLimit(overlapResourceShare)
+	p.useMemory(overlapResourceShare)
 	handed, err := p.process.RequestHandover(stateTimeout)
 	var state handedState
 	if err == nil {
@@ -155,11 +153,9 @@
 	}
 }
 
-// useResourceShare restricts this process to a share, from 0 to 1, of the limits on file descriptors and memory. Of the bounds on
-// buffers it lowers those beyond which requests are rejected, but not the last ones, beyond which connections are closed.
+// useResourceShare restricts this process to a share, from 0 to 1, of the limits on file descriptors and memory.
 func (p *program) useResourceShare(share float64) {
-	p.setMemoryLimit(share)
-	p.gateway.SetMemoryLimits(int(share*float64(p.memoryFraction(bodiesDivisor))), int64(share*float64(p.unreadAnswersLimit())))
+	p.useMemory(share)
 	p.pool.SetMaxConns(scaleQuota(p.connQuotas().Endpoints, share))
 	p.useConnShare(share)
 }
@@ -178,11 +174,6 @@
 // scaleQuota returns a share of a quota of connections, but no less than 1.
 func scaleQuota(n int, share float64) int { return max(1, int(share*float64(n))) }
 
-// setMemoryLimit sets the Go runtime's soft memory limit for a process that may use a share, from 0 to 1, of the memory limit.
-func (p *program) setMemoryLimit(share float64) {
-	debug.SetMemoryLimit(int64(share * softMemoryShare * float64(p.cfg.Limits.MemoryMB<<20)))
-}
-
 // startAccepting marks this process as accepting clients, and notifies the predecessor if there is one.
 func (p *program) startAccepting() {
 	p.accepting = true
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -98,6 +98,17 @@
 	return retryAfter, ok
 }
 
+// ShedForMemory counts a request that Admit has admitted, and for which there is no memory, as shed. It returns the Retry-After
+// for its client; 0: none is sent. It may be called from any goroutine.
+func (g *Gateway) ShedForMemory(f Front, class []byte, retry bool, id []byte) time.Duration {
+	a := g.generations.current.Load()
+	retryAfter := a.controller.ShedAdmitted(int(f), a.order.BandOf(class, retry), xxhash.Sum64(id), g.cfg.Overload.MaxRetryAfter)
+	if !g.cfg.Settings.SendRetryAfter {
+		return 0
+	}
+	return retryAfter
+}
+
 // ShedShare returns the share of the offered requests that is shed, from 0 to 1, smoothed over some
 // tenths of a second.
 func (g *Gateway) ShedShare() float64 { return g.shedController.ShedLevel() }
--- a/gateway/answers.go
+++ b/gateway/answers.go
@@ -73,6 +73,7 @@
 	}
 	r.directorTimers = nil
 	g.bodyBytes -= len(r.Body)
+	r.ReleaseMemory()
 	delete(g.requests, r.directorID)
 	if g.requestsByClientID[r.ID] == r {
 		delete(g.requestsByClientID, r.ID)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"larchusher/locality"
+	"larchusher/membudget"
 	"larchusher/overload"
 	"larchusher/routing"
 )
@@ -39,6 +40,8 @@
 	// lags. nil: reading is assumed never to lag.
 	ReadBarrier func(func())
 
+	Budget *membudget.Budget // accounts for open requests; nil: no limit
+
 	SizeScale       float64 // factor from the sizes that clients state, in KB, to the KB of Settings.FlowKBps; 0: 1
 	MaxOpenRequests int     // limit on open requests, beyond which requests are rejected; 0: no limit
 	MaxBodyBytes    int     // limit on the bytes of open requests' bodies, beyond which requests are rejected; 0: no limit
@@ -120,6 +123,9 @@
 	return g.wallTime(incarnation)
 }
 
+// Budget returns Config.Budget. It may be called from any goroutine.
+func (g *Gateway) Budget() *membudget.Budget { return g.cfg.Budget }
+
 // OpenRequests returns the number of requests that have no answer yet.
 func (g *Gateway) OpenRequests() int { return len(g.requests) }
 
--- a/gateway/requests.go
+++ b/gateway/requests.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"larchusher/membudget"
 	"larchusher/overload"
 	"larchusher/routing"
 )
@@ -33,6 +34,10 @@
 	Client      *Client // client that its answer's memory is accounted to; nil: answers take no memory for long
 	RetainsBody bool    // the answer's body is used after Answer has returned, so its memory is not released
 
+	// Memory accounts for MemoryBytes of the request until it is answered or abandoned. nil: Submit accounts for it.
+	Memory      *membudget.Holder
+	MemoryBytes int64
+
 	class       *routing.Class // class as configured at arrival; nil: the settings do not name it
 	maxAttempts int            // limit on attempts as configured at arrival; 0: no limit
 
@@ -51,6 +56,18 @@
 	deadlineTimer    *Timer
 }
 
+// RequestBytes is the memory that an open request takes apart from its body.
+const RequestBytes = 1 << 10
+
+// ReleaseMemory ends the account of the request's memory. A front calls it for a request that it does not submit. Further calls
+// have no effect.
+func (r *Request) ReleaseMemory() {
+	if r.Memory != nil {
+		r.Memory.Release(r.MemoryBytes)
+		r.Memory = nil
+	}
+}
+
 // idempotent reports whether the request may be repeated freely. That includes requests of unknown
 // classes, which never run.
 func (r *Request) idempotent() bool { return r.class == nil || r.class.Effect == routing.Idempotent }
@@ -77,7 +94,7 @@
 // returns, unless the front abandons the request first.
 func (g *Gateway) Submit(r *Request) {
 	g.register(r)
-	if g.closed || g.overCapacity() {
+	if g.closed || g.overCapacity() || !g.reserveRequest(r) {
 		g.answerRequest(r, Answer{Outcome: OutcomeRejected, RetryAfter: g.LongRetryAfter(r.ID), Retryable: true})
 		return
 	}
@@ -116,6 +133,19 @@
 	return tooMany || tooLarge
 }
 
+// reserveRequest accounts for the memory of a request, unless its front has done so, and reports whether there was enough.
+func (g *Gateway) reserveRequest(r *Request) bool {
+	if r.Memory != nil || g.cfg.Budget == nil {
+		return true
+	}
+	holder, n := g.cfg.Budget.NewHolder(membudget.OpenRequests), int64(RequestBytes+len(r.Body))
+	if !holder.Reserve(n) {
+		return false
+	}
+	r.Memory, r.MemoryBytes = holder, n
+	return true
+}
+
 // claimID reserves the client's id for a request, and returns false if another open request has it,
 // as endpoints would take both for one request. Clients draw a new id for each request, so a second
 // request with an id is a duplicate, unless the client of the first one has left and now retries
--- a/internal/logfields/events.go
+++ b/internal/logfields/events.go
@@ -12,6 +12,7 @@
 	DirectorPanicked  = "director panicked"       // a director panicked while it made a decision: a bug
 	DirectorNote      = "director note"           // a director's message for operators
 	ConfigCorrected   = "configuration corrected" // a configured value was replaced at the start
+	MemoryLimitSmall  = "memory limit small"      // the memory limit is less than a few hundred clients need: the gateway serves all the same
 )
 
 // Events of a configuration reload, which SIGHUP requests.
--- a/internal/net/msgpackrpc/batch.go
+++ b/internal/net/msgpackrpc/batch.go
@@ -1,6 +1,7 @@
 package msgpackrpc
 
 import (
+	"fmt"
 	"time"
 
 	"larchusher/gateway"
@@ -15,6 +16,10 @@
 	reserved   int    // bytes reserved for the messages until the loop has handled them
 	partial    bool   // the input ends with an incomplete message
 	err        error  // closes the connection
+
+	tc      *transport.Conn
+	begun   bool // the loop has handled a part of the messages
+	handled int  // messages that the loop has handled
 }
 
 // OnBytes handles the input of one read. Input for the successor process is buffered. A request's time limit counts from
@@ -52,67 +57,93 @@
 	if len(received.rejections) > 0 && received.err == nil {
 		received.err = tc.Write(received.rejections)
 	}
-	if received.onlyShed() && !c.partial {
+	if received.onlyShed() && !c.endsPartial {
 		c.shedUncounted.Add(int64(received.shed)) // the loop picks the count up in busy
 		return nil
 	}
-	c.partial = received.partial
+	c.endsPartial = received.partial
 	c.post(tc, received)
 	return received.err
 }
 
 // readChunk parses the messages in the input of one read into dst, and keeps an incomplete one at its end.
 func (c *conn) readChunk(tc *transport.Conn, chunk transport.ReceivedChunk, dst *batch) {
-	b := chunk.Data
-	if len(c.buf) > 0 {
-		c.buf = append(c.buf, b...)
-		b = c.buf
+	for b := chunk.Data; len(b) > 0 && dst.err == nil; {
+		rest, done, err := c.scanner.feed(b)
+		switch {
+		case err != nil:
+			dst.err = fmt.Errorf("malformed message: %w", err)
+		case done:
+			c.readFrame(tc, b[:len(b)-len(rest)], chunk.At, dst)
+		default:
+			c.keepPartial(tc, b, chunk.At)
+		}
+		b = rest
 	}
-	rest := c.readMessages(tc, b, chunk.At, dst)
-	dst.partial = len(rest) > 0
-	c.saveRemainder(rest)
+	dst.partial = c.scanner.begun
 }
 
-// onlyShed reports whether the batch has shed requests and nothing for the loop to do.
-func (b *batch) onlyShed() bool {
-	return b.shed > 0 && len(b.messages) == 0 && !b.partial && b.err == nil
+// readFrame handles a message whose last bytes are end; the bytes before them are in the buffer, unless the message was dropped.
+func (c *conn) readFrame(tc *transport.Conn, end []byte, at time.Time, dst *batch) {
+	c.scanner = scanner{}
+	if c.dropped != nil {
+		dst.add(tc, c.dropped.message(), messageCost)
+		c.dropped = nil
+		c.dropping.Store(false)
+		return
+	}
+	frame := end
+	if len(c.buf) > 0 {
+		frame = append(c.buf, end...)
+		c.buf = nil
+		defer c.partial.release()
+	}
+	m, err := decode(frame)
+	if err != nil {
+		dst.err = fmt.Errorf("malformed message: %w", err)
+		return
+	}
+	c.readMessage(tc, &m, at, dst)
 }
 
-// readMessages parses the messages in b into dst, and returns the rest of b: an incomplete message, or everything
-// from a faulty one on.
-func (c *conn) readMessages(tc *transport.Conn, b []byte, at time.Time, dst *batch) (rest []byte) {
-	for len(b) > 0 && dst.err == nil {
-		m, after, incomplete, err := nextMessage(b)
-		if incomplete {
-			return b
-		}
-		if err != nil {
-			dst.err = err
-			return b
-		}
-		b = after
-		if retryAfter, ok := c.admit(&m); !ok {
-			dst.reject(tc, m.id, retryAfter)
-			continue
-		}
-		parsed := c.parseMessage(&m, at)
+// readMessage adds a message to the batch, or rejects it.
+func (c *conn) readMessage(tc *transport.Conn, m *message, at time.Time, dst *batch) {
+	if m.kind != typeRequest || m.isAlive() {
+		parsed := c.parseMessage(m, at)
 		if parsed.kind == cancelMessage {
 			c.pendingCancels.add(parsed.id)
 		}
-		dst.messages = append(dst.messages, parsed)
-		dst.reserved += messageCost + len(m.body)
-		dst.err = tc.ReserveInput(messageCost + len(m.body))
+		dst.add(tc, parsed, messageCost)
+		return
+	}
+	if retryAfter, ok := c.front.gateway.Admit(gateway.PlatformFront, m.method, m.fields.isRetry(), m.fields.id); !ok {
+		dst.reject(tc, m.id, retryAfter)
+		return
 	}
-	return b
+	memory := int64(gateway.RequestBytes + len(m.body))
+	if !c.memory.Reserve(memory) {
+		dst.reject(tc, m.id, c.front.gateway.ShedForMemory(gateway.PlatformFront, m.method, m.fields.isRetry(), m.fields.id))
+		return
+	}
+	parsed := c.parseMessage(m, at)
+	if parsed.kind == requestMessage {
+		parsed.request.Memory, parsed.request.MemoryBytes = c.memory, memory
+	} else {
+		c.memory.Release(memory)
+	}
+	dst.add(tc, parsed, messageCost)
 }
 
-// admit reports whether a message may go to the loop. Only requests can be shed; the retryAfter of a shed one may be
-// 0 for no advice.
-func (c *conn) admit(m *message) (retryAfter time.Duration, ok bool) {
-	if m.kind != typeRequest || m.isAlive() {
-		return 0, true
-	}
-	return c.front.gateway.Admit(gateway.PlatformFront, m.method, m.fields.isRetry(), m.fields.id)
+// add adds a message to the batch, and accounts for it until the loop has handled it.
+func (b *batch) add(tc *transport.Conn, m clientMessage, bytes int) {
+	b.messages = append(b.messages, m)
+	b.reserved += bytes
+	tc.ReserveInput(bytes)
+}
+
+// onlyShed reports whether the batch has shed requests and nothing for the loop to do.
+func (b *batch) onlyShed() bool {
+	return b.shed > 0 && len(b.messages) == 0 && !b.partial && b.err == nil
 }
 
 // reject adds the rejection of a request to the batch, and writes the collected rejections if they exceed
@@ -125,24 +156,3 @@
 		b.rejections = b.rejections[:0]
 	}
 }
-
-// saveRemainder keeps the incomplete message at the end of a read. It frees a large buffer once it is empty.
-func (c *conn) saveRemainder(rest []byte) {
-	if len(rest) == 0 && cap(c.buf) > maxIdleBuffer { // many clients send a large body only now and then
-		c.buf = nil
-	}
-	c.buf = append(c.buf[:0], rest...)
-}
-
-// post passes a batch to the loop.
-func (c *conn) post(tc *transport.Conn, b *batch) {
-	c.postedBatches.Add(1)
-	c.front.loop.Post(func() {
-		c.postedBatches.Add(-1)
-		if b.err != nil {
-			c.front.Malformed++
-		}
-		c.handleBatch(tc, b)
-		tc.ReleaseInput(b.reserved)
-	})
-}
--- a/internal/net/msgpackrpc/buffering.go
+++ b/internal/net/msgpackrpc/buffering.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"larchusher/internal/net/transport"
+	"larchusher/membudget"
 )
 
 // While a successor process takes over (see migration.go), the input of a connection is buffered, so that the connection
@@ -58,7 +59,9 @@
 }
 
 // buffersInput reports whether new input is buffered for the successor.
-func (c *conn) buffersInput() bool { return c.front.buffering.Load() && !c.migrationFailed.Load() }
+func (c *conn) buffersInput() bool {
+	return c.front.buffering.Load() && !c.migrationFailed.Load() && c.dropped == nil
+}
 
 // bufferInput buffers input for the successor and executes the cancel messages in it. If there is no room for it, this
 // process handles all input of the connection that it has. It runs on the poller goroutine.
@@ -72,7 +75,7 @@
 	c.bufferedChunks = append(c.bufferedChunks, bufferedChunk{size: len(b), at: at})
 	c.buf = append(c.buf, b...)
 	if cancels := c.scanBuffered(at); len(cancels) > 0 {
-		c.post(tc, &batch{messages: cancels, partial: c.partial})
+		c.post(tc, &batch{messages: cancels, partial: c.endsPartial})
 	}
 	return nil
 }
@@ -89,11 +92,16 @@
 		return false
 	}
 	c.bufferedBytes.Add(int64(n))
+	f.budget.Add(membudget.MigratingInput, int64(n))
 	return true
 }
 
 // releaseBuffer releases all bytes that reserveBuffer has reserved for the connection.
-func (c *conn) releaseBuffer() { c.front.bufferedBytes.Add(-c.bufferedBytes.Swap(0)) }
+func (c *conn) releaseBuffer() {
+	n := c.bufferedBytes.Swap(0)
+	c.front.bufferedBytes.Add(-n)
+	c.front.budget.Release(membudget.MigratingInput, n)
+}
 
 // handleBuffered handles the buffered input in this process, followed by further input. It runs on the poller goroutine.
 func (c *conn) handleBuffered(tc *transport.Conn, further ...transport.ReceivedChunk) error {
--- a/internal/net/msgpackrpc/conn.go
+++ b/internal/net/msgpackrpc/conn.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"strconv"
 	"sync/atomic"
 
 	"larchusher/gateway"
 	"larchusher/internal/net/transport"
+	"larchusher/membudget"
 )
 
 // conn is one client connection.
@@ -13,13 +15,19 @@
 	front *Front
 
 	// Used by the poller only.
-	buf            []byte          // an incomplete message, followed by the buffered input
-	partial        bool            // the latest batch ended with an incomplete message
+	buf            []byte          // an incomplete message, unless it was dropped, followed by the buffered input
+	scanner        scanner         // of the incomplete message
+	dropped        *droppedMessage // the incomplete message, if there was no memory for it; nil: it is kept
+	endsPartial    bool            // the latest batch ended with an incomplete message
 	bufferedChunks []bufferedChunk // sizes and arrival times of the input that is buffered for the successor process
 	scannedBytes   int             // bytes of buf already searched for cancel messages
 
 	// Used by the poller and the loop.
-	postedBatches   atomic.Int64 // batches that the loop has not handled yet
+	inbox           connInbox
+	memory          *membudget.Holder // of open requests
+	partial         partialInput
+	dropping        atomic.Bool  // the incomplete message was dropped, so the connection cannot migrate
+	handlingSoon    atomic.Int64 // calls of handleBufferedSoon that the poller has not run yet
 	shedUncounted   atomic.Int64 // shed requests that the loop has not counted yet
 	bufferedBytes   atomic.Int64 // bytes buffered for the successor process
 	bufferTimes     bufferTimes
@@ -39,9 +47,15 @@
 
 // idle reports whether no request is open and all input has been handled.
 func (c *conn) idle() bool {
-	return len(c.open) == 0 && c.tc.InputDrained() && c.postedBatches.Load() == 0 && c.tracked.PartialSince.IsZero()
+	return len(c.open) == 0 && c.tc.InputDrained() && !c.hasUnhandledInput() && c.tracked.PartialSince.IsZero()
 }
 
+// hasUnhandledInput reports whether input is on its way to the loop.
+func (c *conn) hasUnhandledInput() bool { return c.inbox.count.Load() > 0 || c.handlingSoon.Load() > 0 }
+
+// opened reports whether OnOpened has registered the connection, or the connection has closed.
+func (c *conn) opened() bool { return c.tc != nil || c.closed }
+
 // closeIfIdle closes the connection if it has no open requests or unhandled input, and reports whether it has. A request
 // that crosses the close must be resent by its client.
 func (c *conn) closeIfIdle() bool {
@@ -58,7 +72,7 @@
 	if n := c.shedUncounted.Swap(0); n > 0 && c.tracked != nil {
 		c.tracked.Received(c.front.loop.Now(), int(n), false)
 	}
-	return len(c.open) > 0 || c.postedBatches.Load() > 0 || c.bufferedBytes.Load() > 0
+	return len(c.open) > 0 || c.hasUnhandledInput() || c.bufferedBytes.Load() > 0
 }
 
 // OnOpened registers the connection with the front, so that it is closed if it never sends a byte.
@@ -78,6 +92,7 @@
 
 // OnClosed abandons the requests that are open on the connection.
 func (c *conn) OnClosed(_ *transport.Conn, _ error) {
+	c.partial.close()
 	c.front.loop.Post(func() {
 		c.closed = true
 		delete(c.front.conns, c)
@@ -91,19 +106,6 @@
 	})
 }
 
-// handleBatch handles the messages of one read, on the loop.
-func (c *conn) handleBatch(tc *transport.Conn, b *batch) {
-	// A batch that was read before the connection closed and is handled after it is dropped: the client repeats its
-	// requests elsewhere.
-	if c.closed || tc.Closing() {
-		return
-	}
-	c.tracked.Received(c.front.loop.Now(), len(b.messages)+b.shed, b.partial)
-	for _, m := range b.messages {
-		c.handleMessage(m)
-	}
-}
-
 // handleMessage handles one message, on the loop.
 func (c *conn) handleMessage(m clientMessage) {
 	switch m.kind {
@@ -115,15 +117,22 @@
 		}
 	case aliveMessage:
 		c.write(appendAlive(nil, m.id))
+	case droppedRequest:
+		if !c.rejectReusedID(m.id) {
+			c.front.gateway.CountAnswer(m.class, gateway.Answer{Outcome: gateway.OutcomeRejected})
+			c.write(appendRejection(nil, m.id, c.front.gateway.RetryAfter(strconv.FormatUint(m.id, 10))))
+		}
 	case unreadableMessage:
 		if !c.rejectReusedID(m.id) {
 			c.front.gateway.CountAnswer(m.class, gateway.Answer{Outcome: gateway.OutcomeFailed})
 			c.write(appendError(nil, m.id, errorFailed, "", ""))
 		}
 	case requestMessage:
-		if !c.rejectReusedID(m.id) {
-			c.submit(m)
+		if c.rejectReusedID(m.id) {
+			m.request.ReleaseMemory()
+			return
 		}
+		c.submit(m)
 	case ignoredMessage:
 	}
 }
@@ -160,6 +169,7 @@
 
 // reject rejects a request that was not submitted to the gateway.
 func (c *conn) reject(m clientMessage) {
+	m.request.ReleaseMemory()
 	c.front.gateway.CountAnswer(m.request.Class, gateway.Answer{Outcome: gateway.OutcomeRejected})
 	c.write(appendRejection(nil, m.id, c.front.gateway.RetryAfter(m.request.ID)))
 }
--- a/internal/net/msgpackrpc/front.go
+++ b/internal/net/msgpackrpc/front.go
@@ -9,14 +9,14 @@
 
 	"larchusher/gateway"
 	"larchusher/internal/net/transport"
+	"larchusher/membudget"
 )
 
 const (
 	maxOpenPerConn    = 32                     // open requests of one connection; further ones are rejected
 	sweepInterval     = 250 * time.Millisecond // interval between checks for idle and stalled connections
-	maxIdleBuffer     = 16 << 10               // bytes of a connection's buffer that are kept between messages
 	maxRejectionBatch = 32 << 10               // bytes of rejections that are collected before they are written
-	messageCost       = 512                    // bytes of memory for a message apart from its body
+	messageCost       = 64                     // bytes of memory for a message on its way to the loop, apart from its request
 )
 
 // errEnding closes connections at shutdown.
@@ -27,8 +27,10 @@
 	loop    *gateway.Loop
 	gateway *gateway.Gateway
 	log     logrus.FieldLogger
+	budget  *membudget.Budget
 	conns   map[*conn]bool
 	tracker *transport.ConnTracker
+	inbox   inbox
 	closed  bool // set by CloseAll
 
 	startedAt        time.Time
@@ -37,6 +39,8 @@
 	bufferedBytes    atomic.Int64 // bytes of input buffered for the successor process on all connections
 	migrateAfter     time.Time    // until when no connection is migrated, since the successor takes none; used by the loop
 
+	partials partialInputs
+
 	classes atomic.Pointer[map[string]string] // class names, interned so that requests share the strings
 
 	Malformed   uint64 // connections closed because of invalid input
@@ -46,7 +50,7 @@
 // New returns a front for at most maxConns connections. NewHandler creates their handlers. classes are the names of
 // the traffic classes that are served.
 func New(loop *gateway.Loop, g *gateway.Gateway, classes []string, maxConns int, log logrus.FieldLogger) *Front {
-	f := &Front{loop: loop, gateway: g, log: log, conns: map[*conn]bool{}, startedAt: loop.Now(),
+	f := &Front{loop: loop, gateway: g, budget: g.Budget(), log: log, conns: map[*conn]bool{}, startedAt: loop.Now(),
 		tracker: transport.NewConnTracker(maxConns)}
 	f.SetClasses(classes)
 	loop.After(sweepInterval, f.sweep)
@@ -64,13 +68,15 @@
 
 // NewHandler returns the handler of a new connection. It may be called from any goroutine.
 func (f *Front) NewHandler() transport.Handler {
-	return &conn{front: f, open: map[uint64]*gateway.Request{}}
+	c := &conn{front: f, open: map[uint64]*gateway.Request{}, memory: f.budget.NewHolder(membudget.OpenRequests)}
+	c.partial = partialInput{all: &f.partials, budget: f.budget}
+	return c
 }
 
-// Idle reports whether no request is open and all answers have been written.
+// Idle reports whether no request is open or on its way to the loop, and all answers have been written.
 func (f *Front) Idle() bool {
 	for c := range f.conns {
-		if c.tc.UnsentBytes() > 0 || len(c.open) > 0 {
+		if c.tc.UnsentBytes() > 0 || len(c.open) > 0 || c.hasUnhandledInput() {
 			return false
 		}
 	}
--- a/internal/net/msgpackrpc/message.go
+++ b/internal/net/msgpackrpc/message.go
@@ -91,9 +91,9 @@
 // nextMessage parses the first message in b and returns the bytes after it. incomplete means that more bytes are
 // needed, and then rest is b. An error means that no valid message can follow.
 func nextMessage(b []byte) (m message, rest []byte, incomplete bool, err error) {
-	valuesLeft := maxValues
-	rest, err = skipValue(b, 0, &valuesLeft)
-	if errors.Is(err, errIncomplete) && len(b) <= maxFrameBytes {
+	var s scanner
+	rest, done, err := s.feed(b)
+	if err == nil && !done {
 		return m, b, true, nil
 	}
 	if err == nil {
@@ -105,6 +105,16 @@
 	return m, rest, false, nil
 }
 
+// decodeStart decodes the message ID and the method of a request from the beginning of its message. ok is false if that does not
+// contain both, or is not of a request.
+func decodeStart(b []byte) (id uint64, method []byte, ok bool) {
+	d := decoder{rest: b}
+	items := d.array()
+	kind := d.uint()
+	id, method = d.uint(), d.bytes()
+	return id, method, d.err == nil && items == 4 && kind == typeRequest
+}
+
 // decode decodes a complete frame: [0, id, method, [fields, body]] or [2, method, parameters].
 func decode(frame []byte) (m message, err error) {
 	d := decoder{rest: frame}
--- a/internal/net/msgpackrpc/migration.go
+++ b/internal/net/msgpackrpc/migration.go
@@ -70,7 +70,7 @@
 
 // canMigrate reports whether no request is open and nothing waits to be handled or written.
 func (c *conn) canMigrate() bool {
-	return len(c.open) == 0 && c.postedBatches.Load() == 0 && c.tc.UnsentBytes() == 0
+	return len(c.open) == 0 && !c.hasUnhandledInput() && !c.dropping.Load() && c.tc.UnsentBytes() == 0
 }
 
 // mayMigrate reports whether connections may be migrated at the moment.
@@ -111,10 +111,10 @@
 // handleBufferedSoon has the poller handle the buffered input in this process, and resumes reading. The connection does
 // not migrate before the loop has handled that input.
 func (c *conn) handleBufferedSoon() {
-	c.postedBatches.Add(1)
+	c.handlingSoon.Add(1)
 	c.tc.RunOnPoller(func() {
 		err := c.handleBuffered(c.tc)
-		c.postedBatches.Add(-1)
+		c.handlingSoon.Add(-1)
 		c.tc.ResumeReading()
 		if err != nil {
 			c.tc.CloseGracefully(err, transport.LingerTime)
--- a/internal/net/msgpackrpc/migration_test.go
+++ b/internal/net/msgpackrpc/migration_test.go
@@ -104,7 +104,7 @@
 		c.handleBufferedSoon()
 		c.tc.RunOnPoller(func() { close(handled) })
 		<-handled // the loop takes no batch meanwhile
-		batches = c.postedBatches.Load()
+		batches = c.inbox.count.Load()
 	})
 	return batches
 }
@@ -133,7 +133,7 @@
 			chunks = append(chunks, cancelText(1))
 		}
 		c := newTestConn(t, f, chunks...)
-		batches := c.postedBatches.Load()
+		batches := c.inbox.count.Load()
 		go f.loop.Run()
 		if k.buffers {
 			batches = handleBufferedAndCount(f, c)
--- a/internal/net/msgpackrpc/parse.go
+++ b/internal/net/msgpackrpc/parse.go
@@ -37,7 +37,7 @@
 	kind    clientMessageKind
 	id      uint64
 	request *gateway.Request
-	class   string // of an unreadable request
+	class   string // of an unreadable or dropped request
 }
 
 // clientMessageKind is the kind of a clientMessage.
@@ -48,6 +48,7 @@
 	unreadableMessage                   // a request with a missing or invalid field
 	cancelMessage
 	aliveMessage
+	droppedRequest // a request that there was no memory for
 	ignoredMessage // an unknown notification
 )
 
--- a/internal/net/resp/memory.go
+++ b/internal/net/resp/memory.go
@@ -1,14 +1,15 @@
 package resp
 
-import pool "github.com/libp2p/go-buffer-pool"
+import (
+	pool "github.com/libp2p/go-buffer-pool"
 
-// reserve reserves n bytes for a string of an answer, and returns false if Config.MaxAnswerBytes would be exceeded.
-// Answers for slow clients may arrive all at once, and be longer than expected. It runs on the poller goroutine.
+	"larchusher/membudget"
+)
+
+// reserve reserves n bytes for a string of an answer, and returns false if Config.Budget has not enough memory. Answers for slow
+// clients may arrive all at once, and be longer than expected. It runs on the poller goroutine.
 func (c *conn) reserve(n int) bool {
-	p := c.pool
-	total := p.answerBytes.Add(int64(n))
-	if p.cfg.MaxAnswerBytes > 0 && total > p.cfg.MaxAnswerBytes {
-		p.answerBytes.Add(int64(-n))
+	if !c.pool.cfg.Budget.Reserve(membudget.EndpointAnswers, int64(n)) {
 		return false
 	}
 	c.reservedBytes.Add(int64(n))
@@ -18,7 +19,9 @@
 // releaseReserved releases the memory reserved for an answer that will not be completed. It may run concurrently with
 // OnBytes: both call it after the connection has ended, so that whatever OnBytes reserved in between is released,
 // too.
-func (c *conn) releaseReserved() { c.pool.answerBytes.Add(-c.reservedBytes.Swap(0)) }
+func (c *conn) releaseReserved() {
+	c.pool.cfg.Budget.Release(membudget.EndpointAnswers, c.reservedBytes.Swap(0))
+}
 
 // releaseStrings releases the memory of an answer's strings.
 func (p *Pool) releaseStrings(strings [][]byte) {
@@ -30,7 +33,7 @@
 // releaseBody releases the memory of one string, which may be nil.
 func (p *Pool) releaseBody(body []byte) {
 	if len(body) > maxUnreservedBytes {
-		p.answerBytes.Add(int64(-len(body)))
+		p.cfg.Budget.Release(membudget.EndpointAnswers, int64(len(body)))
 	}
 	pool.Put(body)
 }
--- a/internal/net/resp/parser_test.go
+++ b/internal/net/resp/parser_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"larchusher/membudget"
 )
 
 // checkArray checks the strings of one array. Without available memory, strings longer than maxUnreservedBytes must
@@ -57,7 +59,7 @@
 
 // Memory reserved for answers is released however they end: complete, skipped for lack of memory, or cut off.
 func TestReservedMemoryIsReleased(t *testing.T) {
-	p := &Pool{cfg: Config{MaxAnswerBytes: 100_000}}
+	p := &Pool{cfg: Config{Budget: membudget.New(300_000)}} // of which answers may take 105,000 bytes
 	answer := appendCommand(nil, "id", "DONE", "-", strings.Repeat("x", 60_000))
 	feed := func(c *conn, b []byte) (got [][]byte) {
 		err := c.parser.feed(b, func(args [][]byte) error {
@@ -74,16 +76,16 @@
 	a.parser.reserve, b.parser.reserve = a.reserve, b.reserve
 	feed(a, answer[:1000]) // the rest never arrives
 	if got := feed(b, answer); len(got) != 1 || got[0] != nil {
-		t.Error("an answer above MaxAnswerBytes was kept")
+		t.Error("an answer beyond the budget was kept")
 	}
 	a.releaseReserved()
 	got := feed(b, answer)
-	if len(got) != 1 || got[0] == nil || p.answerBytes.Load() != 60_000 {
-		t.Errorf("got %d answers with %d bytes reserved, want one answer with 60000", len(got), p.answerBytes.Load())
+	if len(got) != 1 || got[0] == nil || p.cfg.Budget.Used(membudget.EndpointAnswers) != 60_000 {
+		t.Errorf("got %d answers with %d bytes reserved, want one answer with 60000", len(got), p.cfg.Budget.Used(membudget.EndpointAnswers))
 	}
 	p.releaseBody(got[0])
 	b.releaseReserved()
-	if n := p.answerBytes.Load(); n != 0 {
+	if n := p.cfg.Budget.Used(membudget.EndpointAnswers); n != 0 {
 		t.Errorf("%d bytes are still reserved at the end, want 0", n)
 	}
 }
--- a/internal/net/resp/pool.go
+++ b/internal/net/resp/pool.go
@@ -3,13 +3,13 @@
 import (
 	"errors"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"larchusher/gateway"
 	"larchusher/internal/net/transport"
+	"larchusher/membudget"
 	"larchusher/routing"
 )
 
@@ -41,8 +41,9 @@
 	KeepAlive        time.Duration // time after which endpoints close idle connections
 	MaxConns         int           // maximum open connections to all endpoints
 	LoadReportFields []string      // names of the values in gateway.Result.LoadReport, in order
-	MaxAnswerBytes   int64         // limit of the answers in memory until they are written to clients, in bytes; 0: none
 	AnswerTimeout    time.Duration // limit from the first to the last byte of an answer, else its connection is closed; 0: none
+
+	Budget *membudget.Budget // accounts for answers until they are written to clients; nil: no limit
 }
 
 // Counters are a Pool's event counts since the start of the process.
@@ -82,14 +83,13 @@
 	Gateway  Gateway // must be set before the first Send
 	Counters Counters
 
-	cfg         Config
-	loop        *gateway.Loop
-	engine      *transport.Engine
-	log         logrus.FieldLogger
-	endpoints   map[string]*endpoint
-	connCount   int
-	pings       uint64
-	answerBytes atomic.Int64 // bytes of answers in memory
+	cfg       Config
+	loop      *gateway.Loop
+	engine    *transport.Engine
+	log       logrus.FieldLogger
+	endpoints map[string]*endpoint
+	connCount int
+	pings     uint64
 }
 
 // New returns an empty pool.
--- a/internal/net/signedfront/conn.go
+++ b/internal/net/signedfront/conn.go
@@ -50,13 +50,10 @@
 	return isOpen || c.postedInputs.Load() > 0 || len(c.buf) > 0 && c.tracked.PartialSince.IsZero()
 }
 
-// OnBytes copies the input and posts it to the loop. It runs on the poller goroutine. It returns an error if too much
-// input is unhandled or the loop has ended.
+// OnBytes copies the input and posts it to the loop. It runs on the poller goroutine. It returns an error if the
+// loop has ended.
 func (c *conn) OnBytes(tc *transport.Conn, b []byte, at time.Time) error {
-	if err := tc.ReserveInput(len(b)); err != nil {
-		tc.ReleaseInput(len(b))
-		return err
-	}
+	tc.ReserveInput(len(b))
 	b = append([]byte(nil), b...)
 	c.postedInputs.Add(1)
 	posted := c.front.loop.Post(func() {
--- a/internal/net/transport/conn.go
+++ b/internal/net/transport/conn.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,12 +9,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// Limits of the memory reserved with ReserveInput, in bytes.
-const (
-	maxReservedPerConn  = 2 << 20
-	fairReservedPerConn = 64 << 10 // allowed for each connection even if all connections together are over their limit
-)
-
 // How long a connection that was shut down may keep its descriptor. Clients resend a request that crosses the
 // shutdown within 50 ms, so input is read and discarded for longer than that.
 const (
@@ -38,14 +31,16 @@
 	unwritten        atomic.Int64 // bytes waiting to be written
 	reservedInput    atomic.Int64 // bytes reserved by ReserveInput
 
-	ended      atomic.Bool // shut down by this side: input is discarded, writes fail
-	closed     atomic.Bool // the descriptor is closed
-	reading    atomic.Bool // the poller is passing input to the handler
-	paused     atomic.Bool // no input is read, see PauseReading
-	settingUp  atomic.Bool // the listener has not finished handing the connection to its handler
-	notifyOnce sync.Once   // makes OnClosed run once
+	ended      atomic.Bool   // shut down by this side: input is discarded, writes fail
+	closed     atomic.Bool   // the descriptor is closed
+	reading    atomic.Bool   // the poller is passing input to the handler
+	pauses     atomic.Uint32 // why no input is read, as a set of pauseReason; 0: it is read
+	settingUp  atomic.Bool   // the listener has not finished handing the connection to its handler
+	notifyOnce sync.Once     // makes OnClosed run once
 
-	discardedBytes int // bytes received after the shutdown; used by the poller only
+	readLimiter    ReadLimiter // the handler, if it bounds reads; else nil
+	watchesOutput  bool        // watchEvents has the poller report when the connection can be written; guarded by nbio's lock
+	discardedBytes int         // bytes received after the shutdown; used by the poller only
 }
 
 // notifyClosed calls the handler's OnClosed, if it has not been called before.
@@ -117,24 +112,6 @@
 // shutdownWrite shuts down the sending side. The caller holds nbio's lock of the connection.
 func (c *Conn) shutdownWrite() { _ = unix.Shutdown(c.nc.Hash(), unix.SHUT_WR) } // fails if the peer has reset the connection
 
-// ReserveInput reserves n bytes of memory for input until the loop has handled it. It returns an error if the
-// connection, or all connections together, reserve too much: the client sends more than is answered, and the input
-// piles up between the poller and the loop. The bytes are reserved even with an error.
-func (c *Conn) ReserveInput(n int) error {
-	e, own := c.engine, c.reservedInput.Add(int64(n))
-	all := e.reservedInput.Add(int64(n))
-	if own > min(maxReservedPerConn, e.maxUnwritten/4) || all > e.maxUnwritten/2 && own > fairReservedPerConn {
-		return fmt.Errorf("too much unhandled input: %d bytes on this connection, %d bytes on all connections", own, all)
-	}
-	return nil
-}
-
-// ReleaseInput releases n bytes that ReserveInput reserved, also if that returned an error.
-func (c *Conn) ReleaseInput(n int) {
-	c.reservedInput.Add(int64(-n))
-	c.engine.reservedInput.Add(int64(-n))
-}
-
 // UnsentBytes returns the number of bytes waiting to be written.
 func (c *Conn) UnsentBytes() int64 { return c.unwritten.Load() }
 
--- a/internal/net/transport/detach.go
+++ b/internal/net/transport/detach.go
@@ -16,15 +16,6 @@
 // call. f must not block.
 func (c *Conn) RunOnPoller(f func()) { c.engine.Barrier(f) }
 
-// PauseReading makes the poller leave input in the kernel until ResumeReading. The poller goes on to write what waits to
-// be written, and to notice when the peer closes the connection. It must be called on the poller goroutine, so that no
-// input is being passed to the handler when it returns. The pause must be short: the poller does not sleep while input
-// waits on a paused connection.
-func (c *Conn) PauseReading() { c.paused.Store(true) }
-
-// ResumeReading ends a pause. It may be called from any goroutine.
-func (c *Conn) ResumeReading() { c.paused.Store(false) }
-
 // SettingUp reports whether the listener has not finished handing the connection to its handler. The connection must not
 // be paused or detached before.
 func (c *Conn) SettingUp() bool { return c.settingUp.Load() }
--- a/internal/net/transport/listener.go
+++ b/internal/net/transport/listener.go
@@ -158,12 +158,14 @@
 	if o, ok := h.(OpenHandler); ok {
 		o.OnOpened(c)
 	}
-	c.paused.Store(len(chunks) > 0) // nothing is read from the socket before the chunks are handled
+	if len(chunks) > 0 { // nothing is read from the socket before the chunks are handled
+		c.pause(pausedForSetup)
+	}
 	l.engine.add(c)
 	if err := passChunks(h, c, chunks); err != nil {
 		c.CloseGracefully(err, shortLinger)
 	}
-	c.paused.Store(false)
+	c.resume(pausedForSetup)
 	c.settingUp.Store(false)
 	if s, ok := h.(WriteReadyHandler); ok {
 		s.OnReady(c)
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -19,11 +19,13 @@
 	"github.com/sirupsen/logrus"
 
 	"larchusher/internal/logfields"
+	"larchusher/membudget"
 )
 
 const (
 	readBufferSize  = 64 << 10  // bytes of the read buffer that all connections of an engine share
-	maxReadsInRow   = 3         // reads from one connection before the poller goes on to the next
+	maxReadsInRow   = 3         // full reads from one connection before the poller goes on to the next
+	connectionBytes = 3 << 10   // memory for the state of a connection, in this package and in its handler
 	maxKernelUnsent = 128 << 10 // bytes that the kernel buffers for a client beyond those already sent
 )
 
@@ -55,14 +57,19 @@
 	OnMigrated(c *Conn, chunks []ReceivedChunk) error
 }
 
+// ReadLimiter is implemented by handlers that bound a read from the connection. MaxReadBytes is called on the poller goroutine
+// before each read.
+type ReadLimiter interface{ MaxReadBytes(c *Conn) int }
+
 // Engine owns the poller and all connections of a process. Its methods may be called from any goroutine, except that
 // calls of Inherit and Listen must not run concurrently.
 type Engine struct {
+	Budget *membudget.Budget // accounts for connections, unhandled input and unwritten bytes; nil: no account; set before Listen and Dial
+
 	log            logrus.FieldLogger
 	engine         *nbio.Engine
-	maxUnwritten   int64        // limit of the bytes waiting to be written on all connections
+	maxUnwritten   atomic.Int64 // limit of the bytes waiting to be written on all connections
 	unwritten      atomic.Int64 // bytes waiting to be written on all connections
-	reservedInput  atomic.Int64 // bytes reserved by Conn.ReserveInput on all connections; above half of maxUnwritten each connection is limited more
 	lingering      atomic.Int64 // connections that were shut down and are not closed yet
 	barrier        barrier
 	inherited      map[string]*os.File // listening sockets of the predecessor process, by address
@@ -80,7 +87,8 @@
 // together. It returns an error if the poller does not start or does not run a first callback in time.
 func New(log logrus.FieldLogger, maxUnwritten int) (*Engine, error) {
 	logging.DefaultLogger = nbioLog{log}
-	e := &Engine{log: log, maxUnwritten: int64(maxUnwritten), buffer: make([]byte, readBufferSize)}
+	e := &Engine{log: log, buffer: make([]byte, readBufferSize)}
+	e.SetMaxUnwritten(int64(maxUnwritten))
 	e.engine = nbio.NewEngine(nbio.Config{Name: "larchusher", NPoller: 1, ReadBufferSize: 1,
 		MaxWriteBufferSize: min(maxUnwrittenPerConn, maxUnwritten)})
 	e.engine.OnRead(e.read)
@@ -106,6 +114,9 @@
 	return e, nil
 }
 
+// SetMaxUnwritten sets the limit of the bytes that may wait to be written on all connections together.
+func (e *Engine) SetMaxUnwritten(limit int64) { e.maxUnwritten.Store(limit) }
+
 // written accounts for n bytes that nbio has written, and shuts down the sending side of a closing connection after
 // its last byte.
 func (e *Engine) written(nc *nbio.Conn, _ []byte, n int) {
@@ -114,9 +125,11 @@
 	if c == nil {
 		return
 	}
-	left := c.unwritten.Add(int64(-n))
-	e.unwritten.Add(int64(-n))
-	if left <= 0 && c.ended.Load() {
+	if left := c.addUnwritten(int64(-n)); left > 0 {
+		return
+	}
+	c.stopWatchingOutput()
+	if c.ended.Load() {
 		c.shutdownWrite()
 	}
 }
@@ -134,6 +147,7 @@
 		e.lingering.Add(-1)
 	}
 	c.releaseUnwritten()
+	e.Budget.Release(membudget.Connections, connectionBytes)
 	c.notifyClosed(err)
 	if c.onDescriptorFree != nil {
 		c.onDescriptorFree()
@@ -160,8 +174,12 @@
 	}
 	c.reading.Store(true)
 	defer c.reading.Store(false)
-	for i := 0; (i < maxReadsInRow || c.PeerClosed()) && !c.paused.Load(); i++ {
-		n, err := nc.Read(e.buffer)
+	if c.pauses.Load() != 0 {
+		c.watchEvents()
+	}
+	for i := 0; (i < maxReadsInRow || c.PeerClosed()) && c.pauses.Load() == 0; i++ {
+		buffer := c.readBuffer()
+		n, err := nc.Read(buffer)
 		if n > 0 {
 			e.In.Add(uint64(n))
 			if c.ended.Load() {
@@ -170,7 +188,7 @@
 				}
 				continue
 			}
-			if err := c.handler.OnBytes(c, e.buffer[:n], time.Now()); err != nil {
+			if err := c.handler.OnBytes(c, buffer[:n], time.Now()); err != nil {
 				c.CloseGracefully(err, shortLinger)
 				return
 			}
@@ -182,12 +200,20 @@
 		case err != nil:
 			c.Close(err)
 			return
-		case n < len(e.buffer): // nothing is left to read; nbio closes the connection at the end of the stream
+		case n < len(buffer): // nothing is left to read; nbio closes the connection at the end of the stream
 			return
 		}
 	}
 }
 
+// readBuffer returns the buffer for the next read: the shared one, cut to the size that the handler allows.
+func (c *Conn) readBuffer() []byte {
+	if c.readLimiter == nil || c.ended.Load() {
+		return c.engine.buffer
+	}
+	return c.engine.buffer[:min(len(c.engine.buffer), max(1, c.readLimiter.MaxReadBytes(c)))]
+}
+
 // discard counts n bytes that arrived after the connection was shut down and drops them. It returns false after
 // closing a connection that has sent more than maxDiscardedBytes.
 func (c *Conn) discard(n int) bool {
@@ -213,6 +239,8 @@
 	e.connMu.Lock()
 	defer e.connMu.Unlock()
 	c := &Conn{Remote: nc.RemoteAddr().String(), engine: e, nc: nc, handler: h, onDescriptorFree: onDescriptorFree}
+	c.readLimiter, _ = h.(ReadLimiter)
+	e.Budget.Add(membudget.Connections, connectionBytes)
 	nc.SetSession(c)
 	_ = nc.SetNoDelay(true) // on failure the connection only has a higher latency
 	e.Opened.Add(1)
--- a/internal/net/transport/write.go
+++ b/internal/net/transport/write.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	pool "github.com/libp2p/go-buffer-pool"
+
+	"larchusher/membudget"
 )
 
 const (
@@ -22,13 +24,12 @@
 	for _, p := range buffers {
 		total += len(p)
 	}
-	if c.engine.unwritten.Load()+int64(total) > c.engine.maxUnwritten && c.unwritten.Load() > 0 {
+	if c.engine.unwritten.Load()+int64(total) > c.engine.maxUnwritten.Load() && c.unwritten.Load() > 0 {
 		err := fmt.Errorf("too many unwritten bytes: %d on all connections, %d on this connection", c.engine.unwritten.Load(), c.unwritten.Load())
 		c.Close(err)
 		return err
 	}
-	c.unwritten.Add(int64(total))
-	c.engine.unwritten.Add(int64(total))
+	c.addUnwritten(int64(total))
 	err := c.writeBuffers(buffers, total)
 	if err != nil {
 		c.releaseUnwritten() // the connection may have been closed before these bytes were counted
@@ -62,5 +63,16 @@
 	return nil
 }
 
+// addUnwritten adds n bytes, which may be negative, to those that wait to be written, and returns their number on the connection.
+func (c *Conn) addUnwritten(n int64) (left int64) {
+	c.engine.unwritten.Add(n)
+	c.engine.Budget.Add(membudget.Writes, n)
+	return c.unwritten.Add(n)
+}
+
 // releaseUnwritten subtracts the connection's unwritten bytes from the engine's total, once the connection is closed.
-func (c *Conn) releaseUnwritten() { c.engine.unwritten.Add(-c.unwritten.Swap(0)) }
+func (c *Conn) releaseUnwritten() {
+	n := c.unwritten.Swap(0)
+	c.engine.unwritten.Add(-n)
+	c.engine.Budget.Release(membudget.Writes, n)
+}
--- a/membudget/holder.go
+++ b/membudget/holder.go
@@ -26,9 +26,6 @@
 // Reserve adds n bytes to what the holder holds, unless that would exceed its part of the free memory. It reports whether
 // they were added, and counts a refusal.
 func (h *Holder) Reserve(n int64) bool {
-	if h.budget == nil {
-		return true
-	}
 	if !h.mayHold(h.held.Load(), n) {
 		h.budget.Refuse(h.kind)
 		return false
@@ -39,6 +36,9 @@
 
 // mayHold reports whether a holder that holds a number of bytes may hold n more.
 func (h *Holder) mayHold(held, n int64) bool {
+	if h.budget == nil {
+		return true
+	}
 	free := h.budget.Free(h.kind)
 	kindLimit := float64(h.budget.Max(h.kind))
 	freeForAll := free - int64(smallReserve*kindLimit)
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -5,7 +5,10 @@
 // A Budget is safe for concurrent use, and does no I/O.
 package membudget
 
-import "sync/atomic"
+import (
+	"math"
+	"sync/atomic"
+)
 
 // Kind is a kind of memory. A kind further down the list may still grow when those before it may not.
 type Kind int
@@ -68,10 +71,18 @@
 func (b *Budget) Limit() int64 { return b.limit.Load() }
 
 // Max returns the limit of one kind, in bytes.
-func (b *Budget) Max(k Kind) int64 { return int64(bounds[k].own * float64(b.limit.Load())) }
+func (b *Budget) Max(k Kind) int64 {
+	if b == nil {
+		return math.MaxInt64
+	}
+	return int64(bounds[k].own * float64(b.limit.Load()))
+}
 
 // Free returns by how many bytes a kind may grow now; 0 or less: it may not grow.
 func (b *Budget) Free(k Kind) int64 {
+	if b == nil {
+		return math.MaxInt64
+	}
 	limit := float64(b.limit.Load())
 	own := int64(bounds[k].own*limit) - b.kinds[k].used.Load()
 	all := int64(bounds[k].all*limit) - b.total.Load()
--- a/overload/admission.go
+++ b/overload/admission.go
@@ -51,6 +51,17 @@
 	return Jitter(policy.RetryAfter, draw/fullShare), false
 }
 
+// ShedAdmitted counts a request that was admitted, and is shed for another reason than the load, as shed. It returns the
+// Retry-After for its client, of at most maxRetryAfter.
+func (ac *AdmissionController) ShedAdmitted(front, band int, draw uint64, maxRetryAfter time.Duration) time.Duration {
+	ac.shed[front][band].Add(1)
+	retryAfter := time.Duration(minRetryAfterShare * float64(maxRetryAfter))
+	if policy := ac.policy.Load(); policy != nil {
+		retryAfter = max(retryAfter, policy.RetryAfter)
+	}
+	return Jitter(retryAfter, draw/fullShare)
+}
+
 // Jitter varies a Retry-After by up to a quarter in both directions, so that clients do not all
 // retry at once. draw is any evenly distributed number.
 func Jitter(retryAfter time.Duration, draw uint64) time.Duration {
