A request that may have run does not run again when its id comes back

Cause: a gateway knew the ids of open requests only. Once the client was gone, or its request answered, the id was taken for a new one, in any class. Result: TestIDOfDepartedClientDoesNotRunAgain fails before (2 attempts of a request that may run once, both after a leave in flight and after an answer) and passes now; films and orders are served on their return as before.

--- a/gateway/answers.go
+++ b/gateway/answers.go
@@ -78,6 +78,7 @@
 	if g.requestsByClientID[r.ID] == r {
 		delete(g.requestsByClientID, r.ID)
 	}
+	g.executed.remember(r, g.cfg.Loop.Now())
 	if r.attemptsInFlight > 0 {
 		g.answeredWithAttempts[r.directorID] = r
 	}
--- a/gateway/attempts.go
+++ b/gateway/attempts.go
@@ -25,6 +25,7 @@
 	locality          int // index of the locality whose director made the attempt
 	number            int // number of the attempt in that locality, from 0
 	startedAt         time.Time
+	writtenAt         time.Time     // when the backend was told that it may write the attempt; zero: it was not
 	pausedTimeAtStart time.Duration // Gateway.pausedTime at startedAt
 	ended             bool
 	status            routing.Status // valid once ended is true
@@ -152,6 +153,7 @@
 		return false
 	}
 	a.MaxAge = age
+	a.writtenAt = g.cfg.Loop.Now()
 	return true
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,7 @@
 	requestsByClientID   map[string]*Request // of these, those with an ID, by Request.ID
 	answeredWithAttempts map[string]*Request // answered requests with attempts still in flight, by directorID
 	lastRequestNumber    uint64
+	executed             executedRequests          // finished requests that must not run again
 	bodyBytes            int                       // total size of the bodies of open requests
 	outcomes             map[string]*ClassOutcomes // by class
 	retiredClassesTimer  *Timer                    // removes dropped classes; nil: no class was dropped so far
--- a/gateway/requests.go
+++ b/gateway/requests.go
@@ -147,7 +147,7 @@
 }
 
 // claimID reserves the client's id for a request, and returns false if another open request has it,
-// as endpoints would take both for one request. Clients draw a new id for each request, so a second
+// as endpoints would take both for one request, or if a finished one with it may have run and must not run again. Clients draw a new id for each request, so a second
 // request with an id is a duplicate, unless the client of the first one has left and now retries
 // it: then the first one is abandoned.
 func (g *Gateway) claimID(r *Request) bool {
@@ -158,6 +158,9 @@
 		g.Abandon(existing)
 	}
 	if r.ID != "" {
+	if !g.mayRepeat(r) {
+		return false
+	}
 		g.requestsByClientID[r.ID] = r
 	}
 	return true
--- a/routing/events.go
+++ b/routing/events.go
@@ -84,8 +84,8 @@
 // broken reports whether the connection could not be established or ended during the attempt.
 func (s Status) broken() bool { return s == ConnectFailed || s == Reset }
 
-// mayHaveRun reports whether the request may have taken effect at the endpoint.
-func (s Status) mayHaveRun() bool {
+// MayHaveRun reports whether the request may have taken effect at the endpoint.
+func (s Status) MayHaveRun() bool {
 	switch s {
 	case Rejected, ConnectFailed, NotSent, Miss:
 		return false
--- a/routing/result.go
+++ b/routing/result.go
@@ -52,7 +52,7 @@
 	if o.SizeKB > 0 && o.Status == OK && d.settings.FlowKBps > 0 {
 		d.learnSize(r, o.SizeKB) // before the limits: whether the answer was late depends on its size
 	}
-	a.mayHaveRun = o.Status.mayHaveRun()
+	a.mayHaveRun = o.Status.MayHaveRun()
 	d.updateLimits(r, a, o, hit)
 	d.updateEndpointHealth(r, a, o, hit)
 	if r.entry == nil || o.Status != OK {
--- /dev/null
+++ b/test/identity_test.go
@@ -0,0 +1,76 @@
+package test
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"larchusher/lab/loopback"
+	"larchusher/lab/testbed"
+)
+
+// settingsWithTrades returns the usual settings with a further class, trades, whose requests may run only once.
+func settingsWithTrades() json.RawMessage {
+	const trades = `{"name":"trades","aimMs":600,"hardLimitMs":3000,"effect":"once","dedupScope":"all","repeatWindowMs":3000,"value":3}`
+	return json.RawMessage(strings.NewReplacer(
+		`"value":3}],`, `"value":3},`+trades+`],`,
+		`"neverKept":[false,false,true]`, `"neverKept":[false,false,true,true]`,
+		`"inPieces":[true,false,false]`, `"inPieces":[true,false,false,false]`).Replace(testbed.Settings))
+}
+
+// Guards against a request that runs twice because its client left and its id comes again on another connection, in a class of
+// each effect: one that may run once must fail then, and one with a key may be repeated while the stores drop repeats.
+func TestIDOfDepartedClientDoesNotRunAgain(t *testing.T) {
+	for _, c := range []struct {
+		class    string
+		fields   []string
+		answered bool // the first request is answered before its client leaves
+		runs     int
+		err      string
+	}{
+		{"trades", nil, false, 1, "Lost"},
+		{"trades", nil, true, 1, "Lost"},
+		{"orders", []string{"unique", "key-1"}, false, 2, ""},
+		{"films", nil, false, 2, ""},
+	} {
+		t.Run(c.class, func(t *testing.T) {
+			r := newRig(t)
+			r.config["settings"] = settingsWithTrades()
+			r.start()
+			pending := make(chan *storeRequest, 10)
+			r.setHandler(func(a *storeRequest) { pending <- a })
+			first, second := r.client(), r.client()
+			first.send(c.class, object, 3*time.Second, "", c.fields...)
+			a := receive(t, pending)
+			if c.answered {
+				serveHit(a)
+				first.readAnswer()
+			}
+			loopback.Close(first.conn)
+			if !c.answered {
+				eventually(t, "the store is told that the client has left", func() bool { return slices.Contains(r.quits(), a.ID) })
+			}
+			r.setHandler(serveHit)
+			second.txn = first.txn - 1
+			second.send(c.class, object, 3*time.Second, "", c.fields...)
+			if got := second.readAnswer(); got.err != c.err {
+				t.Errorf("the id on another connection: answer %+v, want error %q", got, c.err)
+			}
+			if n := len(r.storeRequests("")); n != c.runs {
+				t.Errorf("the stores received %d attempts, want %d", n, c.runs)
+			}
+		})
+	}
+}
+
+// quits returns the ids that were canceled at any store.
+func (r *rig) quits() (all []string) {
+	for _, s := range r.stores {
+		s.Lock()
+		all = append(all, s.Quits...)
+		s.Unlock()
+	}
+	return all
+}
