A new process at a former one's address gets none of the former's work

Cause: connections are kept by the endpoint's name, but a dial in progress was used once it came up, whatever the list had said meanwhile; and where a new name took an address before the old name was dropped, both were connected to. In routing, answers of a former process taught its successor of that name. Change: of two endpoints with one address only the one that started last, or was listed last, is connected to. A connection that comes up after its endpoint was removed or replaced carries nothing: what waited for it goes elsewhere. Results of attempts sent to a former incarnation end their request and teach nothing. Without an event nothing on the wire tells two processes at one address apart: that stays as it is.

--- a/internal/net/resp/conn.go
+++ b/internal/net/resp/conn.go
@@ -128,7 +128,8 @@
 }
 
 // opened is called when the connection is established, and writes the pending attempts. It closes the connection if
-// it was abandoned meanwhile.
+// it was abandoned meanwhile, or if the endpoint list no longer has the endpoint there: another process may have answered at
+// its address.
 func (c *conn) opened(tc *transport.Conn) {
 	if c.ended {
 		tc.Close(errAbandoned)
@@ -136,6 +137,10 @@
 	}
 	c.timer.Stop()
 	c.tc, c.lastByte = tc, c.pool.loop.Now()
+	if c.retired {
+		c.end(errEndpointChanged)
+		return
+	}
 	waiting := c.pending
 	c.pending = nil
 	for _, a := range waiting {
--- a/internal/net/resp/pool.go
+++ b/internal/net/resp/pool.go
@@ -63,6 +63,7 @@
 	errConnectTimeout   = errors.New("connect timeout")
 	errClosedByEndpoint = errors.New("connection closed by the endpoint")
 	errClosed           = errors.New("closed")
+	errEndpointChanged  = errors.New("endpoint was removed or replaced")
 	errAbandoned        = errors.New("connection no longer needed")
 	errAnswerStalled    = errors.New("answer stalled before its end")
 	errAnswerTimeout    = errors.New("answer not complete in time")
@@ -88,13 +89,14 @@
 	engine    *transport.Engine
 	log       logrus.FieldLogger
 	endpoints map[string]*endpoint
+	idByAddr  map[string]string // id of the endpoint that has an address
 	connCount int
 	pings     uint64
 }
 
 // New returns an empty pool.
 func New(cfg Config, loop *gateway.Loop, engine *transport.Engine, log logrus.FieldLogger) *Pool {
-	p := &Pool{cfg: cfg, loop: loop, engine: engine, log: log, endpoints: map[string]*endpoint{}}
+	p := &Pool{cfg: cfg, loop: loop, engine: engine, log: log, endpoints: map[string]*endpoint{}, idByAddr: map[string]string{}}
 	loop.After(sweepInterval, p.sweep)
 	return p
 }
@@ -110,28 +112,50 @@
 type endpoint struct {
 	id, addr    string
 	startedAtMs int64
+	superseded  bool // another endpoint has taken the address: the process that was this endpoint is gone
 	conns       []*conn
 }
 
 // SetAddress sets an endpoint's address and start time (Unix ms) from the endpoint list. If either changes, no
-// further attempts are sent on its existing connections.
+// further attempts are sent on its existing connections. Of two endpoints with one address, the one that started last
+// has it, or the one that was listed last if they do not differ in that; nothing is sent to the other.
 func (p *Pool) SetAddress(id, addr string, startedAtMs int64) {
 	s := p.endpoints[id]
 	if s == nil {
 		s = &endpoint{id: id}
 		p.endpoints[id] = s
 	}
+	if s.addr == addr && s.startedAtMs == startedAtMs {
+		return
+	}
+	p.releaseAddress(s)
 	// Connections to the previous instance may still look open if it vanished without closing them.
-	if s.addr != addr || s.startedAtMs != startedAtMs {
-		s.retire()
-		s.addr, s.startedAtMs = addr, startedAtMs
+	s.retire()
+	s.addr, s.startedAtMs = addr, startedAtMs
+	holder := p.endpoints[p.idByAddr[addr]]
+	s.superseded = holder != nil && holder.startedAtMs > startedAtMs
+	if s.superseded {
+		return
+	}
+	if holder != nil {
+		holder.superseded = true
+		holder.retire()
+	}
+	p.idByAddr[addr] = id
+}
+
+// releaseAddress gives up the address of an endpoint.
+func (p *Pool) releaseAddress(s *endpoint) {
+	if p.idByAddr[s.addr] == s.id {
+		delete(p.idByAddr, s.addr)
 	}
+	s.addr, s.superseded = "", false
 }
 
 // RemoveEndpoint handles the removal of an endpoint from the endpoint list. Attempts in flight there continue.
 func (p *Pool) RemoveEndpoint(id string) {
 	if s := p.endpoints[id]; s != nil {
-		s.addr = ""
+		p.releaseAddress(s)
 		s.retire()
 		if len(s.conns) == 0 {
 			delete(p.endpoints, id)
@@ -150,7 +174,7 @@
 // endpoint is unknown or the connection limit is reached, the attempt ends with routing.ConnectFailed.
 func (p *Pool) Send(a *gateway.Attempt) {
 	s := p.endpoints[a.Endpoint]
-	if s == nil || s.addr == "" { // only endpoints on the endpoint list are connected to
+	if s == nil || s.addr == "" || s.superseded { // only endpoints on the endpoint list are connected to
 		p.Gateway.AttemptEnded(a, gateway.Result{Status: routing.ConnectFailed})
 		return
 	}
--- a/routing/request.go
+++ b/routing/request.go
@@ -41,7 +41,9 @@
 // attempt is the state of one forwarding of a request.
 type attempt struct {
 	target          *endpoint
-	fillSource      *endpoint // endpoint that fills a miss; the target itself: none
+	fillSource      *endpoint     // endpoint that fills a miss; the target itself: none
+	targetStart     time.Duration // incarnations of target and fillSource that it was sent to
+	fillSourceStart time.Duration
 	sentAt          time.Duration
 	slowStartCost   float64 // in seconds of transfer
 	cacheRank       CacheRank
@@ -249,6 +251,7 @@
 // probation.
 func (d *Director) recordAttempt(r *request, a *attempt) {
 	r.attempts = append(r.attempts, a)
+	a.targetStart, a.fillSourceStart = a.target.incarnation, a.fillSource.incarnation
 	d.spendSlowStart(a.target, a.slowStartCost)
 	if a.fillSource != a.target {
 		d.spendSlowStart(a.fillSource, a.slowStartCost)
--- a/routing/result.go
+++ b/routing/result.go
@@ -9,16 +9,25 @@
 	}
 	a := r.attempts[o.Attempt]
 	a.inFlight = false
-	a.target.probationInFlight = a.target.probationInFlight && !a.probation
+	a.mayHaveRun = o.Status.MayHaveRun()
 	d.countInFlight(a, -1)
-	slots := a.target.transferSlots(d.settings.WeightsKnown)
-	if utilization, ok := d.loadFields.Utilization(o.LoadReport, slots); ok {
-		a.target.load.Observe(d.now, utilization)
+	if a.endpointsUnchanged() {
+		a.target.probationInFlight = a.target.probationInFlight && !a.probation
+		slots := a.target.transferSlots(d.settings.WeightsKnown)
+		if utilization, ok := d.loadFields.Utilization(o.LoadReport, slots); ok {
+			a.target.load.Observe(d.now, utilization)
+		}
+		d.learnFromResult(r, a, o)
 	}
-	d.learnFromResult(r, a, o)
 	d.continueRequest(r, a, o)
 }
 
+// endpointsUnchanged reports whether the target and the fill source have not started anew since the attempt was sent. What a
+// former process did says nothing about the one that has its name now.
+func (a *attempt) endpointsUnchanged() bool {
+	return a.targetStart == a.target.incarnation && a.fillSourceStart == a.fillSource.incarnation
+}
+
 // continueRequest decides what follows a result: the end of the request, a retry, or waiting for
 // other attempts in flight.
 func (d *Director) continueRequest(r *request, a *attempt, o AttemptResult) {
@@ -52,7 +61,6 @@
 	if o.SizeKB > 0 && o.Status == OK && d.settings.FlowKBps > 0 {
 		d.learnSize(r, o.SizeKB) // before the limits: whether the answer was late depends on its size
 	}
-	a.mayHaveRun = o.Status.MayHaveRun()
 	d.updateLimits(r, a, o, hit)
 	d.updateEndpointHealth(r, a, o, hit)
 	if r.entry == nil || o.Status != OK {
--- a/test/identity_test.go
+++ b/test/identity_test.go
@@ -74,3 +74,32 @@
 	}
 	return all
 }
+
+// Guards against work for an endpoint that is gone which reaches the process that has its address now: a connection that was
+// begun to the former one and comes up only then must carry none of its requests.
+func TestDialToReplacedEndpointCarriesNothing(t *testing.T) {
+	var stalled []*stalledStore
+	in := newInProcessGateway(t, func(r *rig) {
+		for _, name := range []string{"c1", "c2"} {
+			s := newStalledStore(t)
+			stalled = append(stalled, s)
+			r.stores[name].Addr = s.addr
+		}
+	})
+	c := in.client()
+	c.send("films", object, 5*time.Second, "")
+	eventually(t, "a store is dialled", func() bool { return in.readOnLoop(func() uint64 { return in.pool.Counters.ConnectsStarted }) == 1 })
+	in.runOnLoop(func() { // the processes at both addresses are others now, and the directors do not know yet
+		in.pool.SetAddress("c8", stalled[0].addr, 1)
+		in.pool.SetAddress("c9", stalled[1].addr, 1)
+	})
+	for _, s := range stalled {
+		s.acceptConnections(t)
+	}
+	if a := c.readAnswer(); a.err == "" {
+		t.Errorf("answer %+v, want an error: no cache is left", a)
+	}
+	if n := len(stalled[0].requests) + len(stalled[1].requests); n != 0 {
+		t.Errorf("%d requests for the former stores were written to the processes at their addresses, want none", n)
+	}
+}
