Slots: messages that stand still give way before clients that rest between requests

Cause: only idle connections could be evicted, never one with an incomplete message, and a client that had been quiet for 50 ms counted as idle. Change: a connection without open requests and with an incomplete message is evicted by how long that has stood still, weighted eight times; connections used in the last 0.2 s are spared.

--- a/internal/net/transport/listener.go
+++ b/internal/net/transport/listener.go
@@ -36,7 +36,7 @@
 }
 
 // Listen accepts connections on addr and creates a handler with newHandler for each. At most maxConns are open at
-// once. For a connection above the limit, onFull (which may be nil) is called so that it can close others; the
+// once. For a connection above the limit, onFull (which may be nil) is called, more than once, so that it can close others; the
 // connection is closed if no slot becomes free within slotTimeout. Both functions run on the listener's goroutine.
 //
 // Other processes of the same user may listen on the same address through this function: the kernel gives each new
@@ -114,17 +114,27 @@
 
 // serveOrReject serves a connection if a slot is free or becomes free within slotTimeout, and closes it otherwise.
 func (l *Listener) serveOrReject(conn net.Conn) {
-	if !l.slots.acquire(0) {
+	if !l.slots.acquire(0) && !l.freeSlot() {
+		l.engine.RejectedConns.Add(1)
+		_ = conn.Close()
+		return
+	}
+	l.serve(conn, nil)
+}
+
+// freeSlot calls onFull, more than once since a connection that cannot be closed now may be soon, until there is a slot or
+// slotTimeout has passed. It reports whether it got a slot.
+func (l *Listener) freeSlot() bool {
+	const calls = 4
+	for range calls {
 		if l.onFull != nil {
 			l.onFull()
 		}
-		if !l.slots.acquire(slotTimeout) {
-			l.engine.RejectedConns.Add(1)
-			_ = conn.Close()
-			return
+		if l.slots.acquire(slotTimeout / calls) {
+			return true
 		}
 	}
-	l.serve(conn, nil)
+	return false
 }
 
 // ReceivedChunk is input that was read from a connection at one time.
--- a/internal/net/transport/tracker.go
+++ b/internal/net/transport/tracker.go
@@ -13,8 +13,16 @@
 	MessageTimeout = 2500 * time.Millisecond
 	// idleTimeout applies to a connection without open requests. Typical clients close idle connections after 4 s.
 	idleTimeout = 10 * time.Second
-	// newConnGrace protects a connection that has just been accepted from eviction.
-	newConnGrace = 200 * time.Millisecond
+	// evictionGrace protects a connection that has just been accepted or used, or on which a message has just begun, from
+	// eviction.
+	evictionGrace = 200 * time.Millisecond
+)
+
+// Weights of the time for which a connection has been quiet, in the choice of the one to evict.
+const (
+	stalledWeight  = 8    // in the middle of a message
+	singleWeight   = 2    // after at most one message
+	progressWeight = 0.25 // of the time since a message began, while it makes progress
 )
 
 // reservedShare sets the share of slots that is kept free for new connections: 1/reservedShare.
@@ -120,37 +128,50 @@
 	}
 }
 
-// EvictIdle closes up to count idle connections, those idle for the longest time first. The idle time of a connection
-// with at most one message counts twice; a connection without any message is spared for newConnGrace. Each search
-// goes over all connections: count is rarely more than one, and sorting all connections for each new one took a fifth
-// of the process's CPU time.
+// EvictIdle closes up to count connections that are idle, or that have an incomplete message and no open request, in the order
+// of evictionScore. Each search goes over all connections: count is rarely more than one, and sorting all connections for each
+// new one took a fifth of the process's CPU time.
 func (t *ConnTracker) EvictIdle(now time.Time, count int) {
 	for ; count > 0; count-- {
-		longest := t.longestIdle(now)
-		if longest == nil {
+		first := t.firstToEvict(now)
+		if first == nil {
 			return
 		}
-		t.Remove(longest) // so that the next search skips it
+		t.Remove(first) // so that the next search skips it
 		t.Closed.Evicted++
-		longest.Conn.CloseGracefully(errSlotNeeded, shortLinger)
+		first.Conn.CloseGracefully(errSlotNeeded, shortLinger)
 	}
 }
 
-// longestIdle returns the connection to evict first, or nil if none can be evicted.
-func (t *ConnTracker) longestIdle(now time.Time) (longest *TrackedConn) {
-	most := time.Duration(-1)
+// firstToEvict returns the connection to evict first, or nil if none can be evicted.
+func (t *ConnTracker) firstToEvict(now time.Time) (first *TrackedConn) {
+	most := time.Duration(0)
 	for n := range t.all {
-		n.Busy()
-		quiet := now.Sub(n.LastActive)
-		if n.Messages == 0 && quiet < newConnGrace {
-			continue
-		}
-		if n.Messages <= 1 {
-			quiet *= 2
+		busy := n.Busy() // may update LastActive
+		if score := n.evictionScore(now); score > most && !busy && n.Conn.UnsentBytes() == 0 && n.Conn.InputDrained() {
+			first, most = n, score
 		}
-		if quiet > most && n.canEvict() {
-			longest, most = n, quiet
+	}
+	return first
+}
+
+// evictionScore returns how soon a connection without open requests is to be evicted when slots run short; 0: not at all. A message
+// that stands still counts most, then connections on which at most one message has arrived: clients that go on to use
+// their connections are evicted last.
+func (n *TrackedConn) evictionScore(now time.Time) time.Duration {
+	quiet := now.Sub(n.LastActive)
+	if !n.PartialSince.IsZero() {
+		begun := now.Sub(n.PartialSince)
+		if begun < evictionGrace {
+			return 0
 		}
+		return max(stalledWeight*quiet, time.Duration(progressWeight*float64(begun)))
+	}
+	if quiet < evictionGrace {
+		return 0
+	}
+	if n.Messages <= 1 {
+		return singleWeight * quiet
 	}
-	return longest
+	return quiet
 }
