--- a/internal/net/transport/tracker.go
+++ b/internal/net/transport/tracker.go
@@ -13,8 +13,8 @@
 	MessageTimeout = 2500 * time.Millisecond
 	// idleTimeout applies to a connection without open requests. Typical clients close idle connections after 4 s.
 	idleTimeout = 10 * time.Second
-	// evictionGrace protects a connection that has just been accepted or used, or on which a message has just begun, from
-	// eviction.
+	// evictionGrace protects a connection that has just been accepted, or on which a message has just begun, from eviction.
+	// One that has just been used is evicted after all others.
 	evictionGrace = 200 * time.Millisecond
 )
 
@@ -23,6 +23,7 @@
 	stalledWeight  = 8    // in the middle of a message
 	singleWeight   = 2    // after at most one message
 	progressWeight = 0.25 // of the time since a message began, while it makes progress
+	recentDivisor  = 1000 // divides the time of a connection that was in use within evictionGrace
 )
 
 // reservedShare sets the share of slots that is kept free for new connections: 1/reservedShare.
@@ -167,10 +168,12 @@
 		}
 		return max(stalledWeight*quiet, time.Duration(progressWeight*float64(begun)))
 	}
-	if quiet < evictionGrace {
+	switch {
+	case quiet < evictionGrace && n.Messages == 0:
 		return 0
-	}
-	if n.Messages <= 1 {
+	case quiet < evictionGrace: // the last choice
+		return max(1, quiet/recentDivisor)
+	case n.Messages <= 1:
 		return singleWeight * quiet
 	}
 	return quiet
