Slots: just-used connections are evicted only for a new one that finds no slot

Change: that reserve spares what is within 0.2 s; only a new connection without a slot evicts it, messages that have just begun before connections that were just used.

--- a/internal/net/admin/admin.go
+++ b/internal/net/admin/admin.go
@@ -53,7 +53,7 @@
 
 // Listen accepts calls on addr. It need not be called on the loop.
 func (s *Server) Listen(engine *transport.Engine, addr string) (*transport.Listener, error) {
-	evictIdle := func() { s.cfg.Loop.Post(func() { s.callers.EvictIdle(s.cfg.Loop.Now(), 1) }) }
+	evictIdle := func() { s.cfg.Loop.Post(func() { s.callers.EvictIdle(s.cfg.Loop.Now()) }) }
 	return engine.Listen(addr, s.cfg.MaxConns, evictIdle, func() transport.Handler { return &caller{server: s} })
 }
 
--- a/internal/net/msgpackrpc/front.go
+++ b/internal/net/msgpackrpc/front.go
@@ -110,7 +110,7 @@
 }
 
 // EvictIdle closes one idle connection to free its slot for a new one. It may be called from any goroutine.
-func (f *Front) EvictIdle() { f.loop.Post(func() { f.tracker.EvictIdle(f.loop.Now(), 1) }) }
+func (f *Front) EvictIdle() { f.loop.Post(func() { f.tracker.EvictIdle(f.loop.Now()) }) }
 
 // sweep closes connections that are idle for too long or whose message is not complete in time.
 func (f *Front) sweep() {
--- a/internal/net/signedfront/front.go
+++ b/internal/net/signedfront/front.go
@@ -100,7 +100,7 @@
 func (f *Front) SetMaxConns(maxConns int) { f.tracker.SetMaxConns(maxConns) }
 
 // EvictIdle closes one idle connection to free its slot for a new one. It may be called from any goroutine.
-func (f *Front) EvictIdle() { f.loop.Post(func() { f.tracker.EvictIdle(f.loop.Now(), 1) }) }
+func (f *Front) EvictIdle() { f.loop.Post(func() { f.tracker.EvictIdle(f.loop.Now()) }) }
 
 // sweep closes connections that are idle for too long. A client whose request is not complete in time gets status
 // 408.
--- a/internal/net/transport/tracker.go
+++ b/internal/net/transport/tracker.go
@@ -23,7 +23,11 @@
 	stalledWeight  = 8    // in the middle of a message
 	singleWeight   = 2    // after at most one message
 	progressWeight = 0.25 // of the time since a message began, while it makes progress
-	recentDivisor  = 1000 // divides the time of a connection that was in use within evictionGrace
+
+	// Within evictionGrace, for a new connection that finds no slot: messages that have just begun go before connections that
+	// were just used, and both after all others.
+	begunWeight = 1e-2
+	usedWeight  = 1e-6
 )
 
 // reservedShare sets the share of slots that is kept free for new connections: 1/reservedShare.
@@ -74,7 +78,7 @@
 func (t *ConnTracker) Add(c *Conn, now time.Time, busy func() bool) *TrackedConn {
 	n := &TrackedConn{Conn: c, Busy: busy, LastActive: now}
 	t.all[n] = true
-	t.EvictIdle(now, len(t.all)-(t.maxConns-t.maxConns/reservedShare))
+	t.keepReserve(now)
 	return n
 }
 
@@ -129,52 +133,61 @@
 	}
 }
 
-// EvictIdle closes up to count connections that are idle, or that have an incomplete message and no open request, in the order
-// of evictionScore. Each search goes over all connections: count is rarely more than one, and sorting all connections for each
-// new one took a fifth of the process's CPU time.
-func (t *ConnTracker) EvictIdle(now time.Time, count int) {
-	for ; count > 0; count-- {
-		first := t.firstToEvict(now)
-		if first == nil {
+// keepReserve closes connections as long as fewer than 1/reservedShare of the slots are free, but none within evictionGrace.
+func (t *ConnTracker) keepReserve(now time.Time) {
+	for excess := len(t.all) - (t.maxConns - t.maxConns/reservedShare); excess > 0; excess-- {
+		if !t.evictOne(now, false) {
 			return
 		}
-		t.Remove(first) // so that the next search skips it
-		t.Closed.Evicted++
-		first.Conn.CloseGracefully(errSlotNeeded, shortLinger)
 	}
 }
 
-// firstToEvict returns the connection to evict first, or nil if none can be evicted.
-func (t *ConnTracker) firstToEvict(now time.Time) (first *TrackedConn) {
+// EvictIdle closes a connection that is idle, or has an incomplete message and no open request, to free its slot for a new one.
+func (t *ConnTracker) EvictIdle(now time.Time) { t.evictOne(now, true) }
+
+// evictOne closes the connection with the highest evictionScore, and reports whether there was one. The search goes over all
+// connections: more than one is rarely closed at once, and sorting all connections for each new one took a fifth of the
+// process's CPU time.
+func (t *ConnTracker) evictOne(now time.Time, urgent bool) bool {
+	var first *TrackedConn
 	most := time.Duration(0)
 	for n := range t.all {
 		busy := n.Busy() // may update LastActive
-		if score := n.evictionScore(now); score > most && !busy && n.Conn.UnsentBytes() == 0 && n.Conn.InputDrained() {
+		if score := n.evictionScore(now, urgent); score > most && !busy && n.Conn.UnsentBytes() == 0 && n.Conn.InputDrained() {
 			first, most = n, score
 		}
 	}
-	return first
+	if first == nil {
+		return false
+	}
+	t.Remove(first) // so that the next search skips it
+	t.Closed.Evicted++
+	first.Conn.CloseGracefully(errSlotNeeded, shortLinger)
+	return true
 }
 
 // evictionScore returns how soon a connection without open requests is to be evicted when slots run short; 0: not at all. A message
 // that stands still counts most, then connections on which at most one message has arrived: clients that go on to use
-// their connections are evicted last.
-func (n *TrackedConn) evictionScore(now time.Time) time.Duration {
-	quiet := now.Sub(n.LastActive)
-	if !n.PartialSince.IsZero() {
-		begun := now.Sub(n.PartialSince)
-		if begun < evictionGrace {
-			return 0
-		}
-		return max(stalledWeight*quiet, time.Duration(progressWeight*float64(begun)))
-	}
+// their connections are evicted last. urgent means that a new connection waits for the slot.
+func (n *TrackedConn) evictionScore(now time.Time, urgent bool) time.Duration {
+	quiet, begun := now.Sub(n.LastActive), now.Sub(n.PartialSince)
+	partial := !n.PartialSince.IsZero()
 	switch {
-	case quiet < evictionGrace && n.Messages == 0:
-		return 0
-	case quiet < evictionGrace: // the last choice
-		return max(1, quiet/recentDivisor)
-	case n.Messages <= 1:
+	case partial && begun >= evictionGrace:
+		return max(stalledWeight*quiet, scaleDuration(begun, progressWeight))
+	case !partial && quiet >= evictionGrace && n.Messages <= 1:
 		return singleWeight * quiet
+	case !partial && quiet >= evictionGrace:
+		return quiet
+	case !urgent || n.Messages == 0 && !partial:
+		return 0
+	case partial:
+		return 1 + scaleDuration(begun, begunWeight)
 	}
-	return quiet
+	return 1 + scaleDuration(quiet, usedWeight)
+}
+
+// scaleDuration returns a duration times a factor.
+func scaleDuration(d time.Duration, factor float64) time.Duration {
+	return time.Duration(factor * float64(d))
 }
--- a/internal/net/transport/transport_test.go
+++ b/internal/net/transport/transport_test.go
@@ -289,7 +289,7 @@
 	waitFor(t, "the kernel has unread input", func() bool { return c.unread() > 0 })
 	later := now.Add(2 * idleTimeout)
 	tracker.Sweep(later, nil)
-	tracker.EvictIdle(later, 1)
+	tracker.EvictIdle(later)
 	if c.Closing() {
 		t.Error("a connection with unread input was closed")
 	}
