Fairness: a client that asks for little is served beside those that cause the load

Cause: shedding went by class and load, not by who caused the load; the queue was one line for all connections of a class; one connection was read for up to 192 KiB before the next; what was not handled yet was bounded in bytes alone; answers of stores were read faster than they were passed on, and dropped. Change: a client that offers at most half of the mean, and two deviations less than it, is not shed, waits in the first band, and may exceed an endpoint's limit by half; connections have turns in the queue; 4 KiB are read at a visit, 24 KiB within a message; stores with unhandled answers are not read while half of the memory for answers is in use; beyond the limit on unwritten bytes those connections are closed first on which much waits. The crowd plays in a process of its own with four cores: before, it took the processor from the well-behaved client in the test's process.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -85,13 +85,22 @@
 	return c
 }
 
-// Admit reports whether to admit a request, as soon as its class, its retry mark and its client's
-// id are known. If not, retryAfter is the Retry-After for its client; 0: none is sent. It may be
-// called from any goroutine. If the request is submitted afterwards, its field Admitted must be
-// set.
-func (g *Gateway) Admit(f Front, class []byte, retry bool, id []byte) (retryAfter time.Duration, ok bool) {
-	a := g.generations.current.Load()
-	retryAfter, ok = a.controller.Admit(int(f), a.order.BandOf(class, retry), xxhash.Sum64(id))
+// Arrival is what a front knows of a request before it parses the rest. The slices are used only during the call.
+type Arrival struct {
+	Front     Front
+	Client    *overload.ClientLoad // records the load of the client, whose requests arrive one by one; nil: it is not known
+	Class     []byte
+	Retry     bool   // the client marks the request as a retry
+	ID        []byte // client's id
+	BodyBytes int
+}
+
+// Admit reports whether to admit a request. If not, retryAfter is the Retry-After for its client; 0: none is sent. It may be
+// called from any goroutine. If the request is submitted afterwards, its field Admitted must be set.
+func (g *Gateway) Admit(a Arrival) (retryAfter time.Duration, ok bool) {
+	current := g.generations.current.Load()
+	retryAfter, ok = current.controller.AdmitFrom(a.Client, overload.RequestCost(a.BodyBytes), int(a.Front),
+		current.order.BandOf(a.Class, a.Retry), xxhash.Sum64(a.ID))
 	if !g.cfg.Settings.SendRetryAfter {
 		retryAfter = 0
 	}
@@ -100,9 +109,9 @@
 
 // ShedForMemory counts a request that Admit has admitted, and for which there is no memory, as shed. It returns the Retry-After
 // for its client; 0: none is sent. It may be called from any goroutine.
-func (g *Gateway) ShedForMemory(f Front, class []byte, retry bool, id []byte) time.Duration {
-	a := g.generations.current.Load()
-	retryAfter := a.controller.ShedAdmitted(int(f), a.order.BandOf(class, retry), xxhash.Sum64(id), g.cfg.Overload.MaxRetryAfter)
+func (g *Gateway) ShedForMemory(a Arrival) time.Duration {
+	current := g.generations.current.Load()
+	retryAfter := current.controller.ShedAdmitted(int(a.Front), current.order.BandOf(a.Class, a.Retry), xxhash.Sum64(a.ID), g.cfg.Overload.MaxRetryAfter)
 	if !g.cfg.Settings.SendRetryAfter {
 		return 0
 	}
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -6,6 +6,7 @@
 // client may read slowly. [Gateway.AddClient] makes it.
 type Client struct {
 	account     *overload.Client
+	flow        overload.Flow // requests of the client have turns together
 	unsentBytes func() int64
 	closeConn   func(error)
 }
--- a/gateway/queue.go
+++ b/gateway/queue.go
@@ -66,7 +66,18 @@
 		arrived = g.cfg.Loop.Now()
 	}
 	r.queueItem.Value = r
-	g.queue.Push(&r.queueItem, r.band, int(r.Front), g.DirectorTime(arrived))
+	if r.Client != nil {
+		r.queueItem.Flow = &r.Client.flow
+	}
+	g.queue.Push(&r.queueItem, r.queueBand(), int(r.Front), g.DirectorTime(arrived))
+}
+
+// queueBand returns the band in which a request waits: its own, or the first one for a client that does not cause the load.
+func (r *Request) queueBand() int {
+	if r.LightClient {
+		return 0
+	}
+	return r.band
 }
 
 // runNextQueued runs the next queued request or work, and reports whether more is queued. The loop
--- a/gateway/requests.go
+++ b/gateway/requests.go
@@ -31,6 +31,7 @@
 	ArrivedAt   time.Time // when its wait in the queue began; zero: when it is submitted
 	Front       Front
 	Admitted    bool    // Gateway.Admit has admitted the request
+	LightClient bool    // its client offers much less than others, see overload.ClientLoad
 	Client      *Client // client that its answer's memory is accounted to; nil: answers take no memory for long
 	RetainsBody bool    // the answer's body is used after Answer has returned, so its memory is not released
 
@@ -139,7 +140,7 @@
 		return true
 	}
 	holder, n := g.cfg.Budget.NewHolder(membudget.OpenRequests), int64(RequestBytes+len(r.Body))
-	if !holder.Reserve(n) {
+	if !holder.Reserve(n, false) {
 		return false
 	}
 	r.Memory, r.MemoryBytes = holder, n
@@ -157,10 +158,10 @@
 		}
 		g.Abandon(existing)
 	}
-	if r.ID != "" {
 	if !g.mayRepeat(r) {
 		return false
 	}
+	if r.ID != "" {
 		g.requestsByClientID[r.ID] = r
 	}
 	return true
@@ -202,6 +203,7 @@
 		SizeKB:        r.SizeKB * cmp.Or(g.cfg.SizeScale, 1),
 		Deadline:      g.DirectorTime(r.Deadline),
 		Retry:         r.Retry,
+		LightClient:   r.LightClient,
 		Write:         !r.idempotent(),
 	}})
 }
--- a/internal/net/msgpackrpc/batch.go
+++ b/internal/net/msgpackrpc/batch.go
@@ -116,18 +116,21 @@
 		dst.add(tc, parsed, messageCost)
 		return
 	}
-	if retryAfter, ok := c.front.gateway.Admit(gateway.PlatformFront, m.method, m.fields.isRetry(), m.fields.id); !ok {
+	arrival := gateway.Arrival{Front: gateway.PlatformFront, Client: &c.load, Class: m.method, Retry: m.fields.isRetry(), ID: m.fields.id,
+		BodyBytes: len(m.body)}
+	if retryAfter, ok := c.front.gateway.Admit(arrival); !ok {
 		dst.reject(tc, m.id, retryAfter)
 		return
 	}
 	memory := int64(gateway.RequestBytes + len(m.body))
-	if !c.memory.Reserve(memory) {
-		dst.reject(tc, m.id, c.front.gateway.ShedForMemory(gateway.PlatformFront, m.method, m.fields.isRetry(), m.fields.id))
+	if !c.memory.Reserve(memory, c.load.Light()) {
+		dst.reject(tc, m.id, c.front.gateway.ShedForMemory(arrival))
 		return
 	}
 	parsed := c.parseMessage(m, at)
 	if parsed.kind == requestMessage {
 		parsed.request.Memory, parsed.request.MemoryBytes = c.memory, memory
+		parsed.request.LightClient = c.load.Light()
 	} else {
 		c.memory.Release(memory)
 	}
--- a/internal/net/msgpackrpc/conn.go
+++ b/internal/net/msgpackrpc/conn.go
@@ -8,6 +8,7 @@
 	"larchusher/gateway"
 	"larchusher/internal/net/transport"
 	"larchusher/membudget"
+	"larchusher/overload"
 )
 
 // conn is one client connection.
@@ -18,6 +19,7 @@
 	buf            []byte          // an incomplete message, unless it was dropped, followed by the buffered input
 	scanner        scanner         // of the incomplete message
 	dropped        *droppedMessage // the incomplete message, if there was no memory for it; nil: it is kept
+	load           overload.ClientLoad
 	endsPartial    bool            // the latest batch ended with an incomplete message
 	bufferedChunks []bufferedChunk // sizes and arrival times of the input that is buffered for the successor process
 	scannedBytes   int             // bytes of buf already searched for cancel messages
--- a/internal/net/msgpackrpc/inbox.go
+++ b/internal/net/msgpackrpc/inbox.go
@@ -9,7 +9,7 @@
 
 // Turns of connections on the loop, in messages.
 const (
-	messagesPerTurn = 16  // of one connection before the next one has its turn
+	messagesPerTurn = 4   // of one connection before the next one has its turn
 	messagesPerRun  = 128 // before the loop does its other work
 )
 
--- a/internal/net/msgpackrpc/partial.go
+++ b/internal/net/msgpackrpc/partial.go
@@ -13,10 +13,11 @@
 // complete. The connection stays open, and requests that are open on it get their answers.
 
 const (
-	minReadBytes     = 1 << 10 // bytes of a read while too much input is unhandled
-	usualReadBytes   = 8 << 10 // bytes of a read between messages
-	minDroppedBytes  = 1 << 10 // a smaller incomplete message is not dropped for another one
-	bufferGrowFactor = 2       // by which a buffer grows, up to the size of the message as far as that is known
+	minReadBytes     = 1 << 10  // bytes of a read while too much input is unhandled
+	usualReadBytes   = 4 << 10  // bytes of a read between messages
+	maxReadBytes     = 24 << 10 // bytes of a read within a message
+	minDroppedBytes  = 1 << 10  // a smaller incomplete message is not dropped for another one
+	bufferGrowFactor = 2        // by which a buffer grows, up to the size of the message as far as that is known
 )
 
 // partialInputs are the connections with an incomplete message. It is safe for concurrent use.
@@ -99,12 +100,12 @@
 	return clientMessage{kind: droppedRequest, id: d.id, class: d.class}
 }
 
-// MaxReadBytes bounds the next read: what is missing of an incomplete message is read at once, other input in small pieces, so
+// MaxReadBytes bounds the next read: what is missing of an incomplete message is read in large pieces, other input in small ones, so
 // that a connection on which many small messages arrive does not fill the memory for unhandled ones.
 func (c *conn) MaxReadBytes(*transport.Conn) int {
 	switch {
 	case c.scanner.skip > 0:
-		return max(usualReadBytes, c.scanner.skip)
+		return max(usualReadBytes, min(maxReadBytes, c.scanner.skip))
 	case c.front.budget.Free(membudget.UnhandledInput) <= 0:
 		return minReadBytes
 	}
@@ -120,7 +121,7 @@
 	needed := len(c.buf) + len(b)
 	capacity := cap(c.buf)
 	if needed > capacity {
-		capacity = max(needed, min(needed+c.scanner.skip, bufferGrowFactor*needed))
+		capacity = c.grownCapacity(needed)
 	}
 	if !tc.SettingUp() && !c.makeRoom(int64(capacity-cap(c.buf)), at) {
 		c.drop(b)
@@ -133,6 +134,16 @@
 	c.partial.set(c, int64(cap(c.buf)), at)
 }
 
+// grownCapacity returns the capacity of a larger buffer, which holds the needed bytes. The rest of a long value is known to come;
+// of many short ones it is not.
+func (c *conn) grownCapacity(needed int) int {
+	limit := maxFrameBytes
+	if c.scanner.skip > usualReadBytes {
+		limit = needed + c.scanner.skip
+	}
+	return max(needed, min(limit, bufferGrowFactor*needed))
+}
+
 // makeRoom drops messages of other connections until the buffer may grow by n bytes, and reports whether it may.
 func (c *conn) makeRoom(n int64, now time.Time) bool {
 	f := c.front
--- a/internal/net/resp/answer.go
+++ b/internal/net/resp/answer.go
@@ -12,6 +12,7 @@
 	"larchusher/gateway"
 	"larchusher/internal/logfields"
 	"larchusher/internal/net/transport"
+	"larchusher/membudget"
 	"larchusher/routing"
 )
 
@@ -21,11 +22,13 @@
 // OnBytes parses the input into answers and posts them to the loop. It runs on the poller goroutine.
 func (c *conn) OnBytes(tc *transport.Conn, b []byte, at time.Time) error {
 	var answers [][][]byte
+	size := 0
 	err := c.parser.feed(b, func(args [][]byte) error {
 		if len(args) != answerStrings && len(args) != pingAnswerStrings {
 			return fmt.Errorf("answer has %d strings, want 2 or 4", len(args))
 		}
 		for _, s := range args { // the memory of complete strings now belongs to the answer, not to the connection
+			size += len(s)
 			if len(s) > maxUnreservedBytes {
 				c.reservedBytes.Add(int64(-len(s)))
 			}
@@ -37,7 +40,11 @@
 		c.releaseReserved()
 	}
 	partial := c.parser.partial()
-	c.pool.loop.Post(func() { c.handleAnswers(tc, answers, partial, at) })
+	tc.HoldInput(membudget.EndpointAnswers, size) // answers are read no faster than they are handled
+	c.pool.loop.Post(func() {
+		c.handleAnswers(tc, answers, partial, at)
+		tc.ReleaseHeldInput(membudget.EndpointAnswers, size)
+	})
 	return err
 }
 
--- a/internal/net/resp/memory.go
+++ b/internal/net/resp/memory.go
@@ -3,9 +3,25 @@
 import (
 	pool "github.com/libp2p/go-buffer-pool"
 
+	"larchusher/internal/net/transport"
 	"larchusher/membudget"
 )
 
+// Bytes of one read from an endpoint.
+const (
+	usualReadBytes = 64 << 10
+	shortReadBytes = 8 << 10 // while more than half of the memory for answers is in use
+)
+
+// MaxReadBytes bounds the next read, so that answers are not read much faster than the loop passes them on.
+func (c *conn) MaxReadBytes(*transport.Conn) int {
+	budget := c.pool.cfg.Budget
+	if budget.Free(membudget.EndpointAnswers) < budget.Max(membudget.EndpointAnswers)/2 {
+		return shortReadBytes
+	}
+	return usualReadBytes
+}
+
 // reserve reserves n bytes for a string of an answer, and returns false if Config.Budget has not enough memory. Answers for slow
 // clients may arrive all at once, and be longer than expected. It runs on the poller goroutine.
 func (c *conn) reserve(n int) bool {
--- a/internal/net/resp/parser_test.go
+++ b/internal/net/resp/parser_test.go
@@ -59,7 +59,7 @@
 
 // Memory reserved for answers is released however they end: complete, skipped for lack of memory, or cut off.
 func TestReservedMemoryIsReleased(t *testing.T) {
-	p := &Pool{cfg: Config{Budget: membudget.New(300_000)}} // of which answers may take 105,000 bytes
+	p := &Pool{cfg: Config{Budget: membudget.New(400_000)}} // of which answers may take 100,000 bytes
 	answer := appendCommand(nil, "id", "DONE", "-", strings.Repeat("x", 60_000))
 	feed := func(c *conn, b []byte) (got [][]byte) {
 		err := c.parser.feed(b, func(args [][]byte) error {
--- a/internal/net/signedfront/conn.go
+++ b/internal/net/signedfront/conn.go
@@ -10,6 +10,7 @@
 	"larchusher/gateway"
 	"larchusher/internal/httpapi"
 	"larchusher/internal/net/transport"
+	"larchusher/overload"
 )
 
 // conn is one client connection. Its fields are used on the loop only, except for postedInputs.
@@ -18,6 +19,7 @@
 	postedInputs atomic.Int64 // reads whose input the loop has not handled yet
 	tc           *transport.Conn
 	client       *gateway.Client
+	load         overload.ClientLoad
 	buf          []byte
 	lastByte     time.Time
 	tracked      *transport.TrackedConn
@@ -143,7 +145,8 @@
 func (c *conn) enqueueCheck(h *head, body []byte, at time.Time) {
 	f := c.front
 	class := f.api.Class(h.target)
-	_, admitted := f.gateway.Admit(gateway.SignedFront, []byte(class), httpapi.IsRetry(h.get), []byte(h.target))
+	_, admitted := f.gateway.Admit(gateway.Arrival{Front: gateway.SignedFront, Client: &c.load, Class: []byte(class),
+		Retry: httpapi.IsRetry(h.get), ID: []byte(h.target), BodyBytes: len(body)})
 	run := func(shed bool) {
 		c.checking = false
 		c.checkAndSubmit(h, body, at, shed)
--- a/internal/net/transport/conn.go
+++ b/internal/net/transport/conn.go
@@ -29,7 +29,7 @@
 	handler          Handler
 	onDescriptorFree func()       // called once the descriptor is closed; may be nil
 	unwritten        atomic.Int64 // bytes waiting to be written
-	reservedInput    atomic.Int64 // bytes reserved by ReserveInput
+	unhandledInput   atomic.Int64 // bytes of input that the loop has not handled, see HoldInput
 
 	ended      atomic.Bool   // shut down by this side: input is discarded, writes fail
 	closed     atomic.Bool   // the descriptor is closed
--- a/internal/net/transport/pause.go
+++ b/internal/net/transport/pause.go
@@ -81,19 +81,31 @@
 // ReserveInput accounts for n bytes of memory that input takes until the loop has handled it. If the connection, or all
 // connections together, have too much unhandled input, no more is read from the connection for now.
 func (c *Conn) ReserveInput(n int) {
-	own := c.reservedInput.Add(int64(n))
 	c.engine.Budget.Add(membudget.UnhandledInput, int64(n))
-	if own > maxUnhandledInput || own > 0 && c.engine.Budget.Free(membudget.UnhandledInput) <= 0 {
-		c.pause(pausedForInput)
-	}
+	c.HoldInput(membudget.UnhandledInput, n)
 }
 
-// ReleaseInput releases n bytes that ReserveInput has reserved, and lets the poller read on if that was all, or nearly all.
+// ReleaseInput releases n bytes that ReserveInput has reserved.
 func (c *Conn) ReleaseInput(n int) {
-	own := c.reservedInput.Add(int64(-n))
 	c.engine.Budget.Release(membudget.UnhandledInput, int64(n))
-	enoughMemory := c.engine.Budget.Free(membudget.UnhandledInput) > 0
-	if own <= 0 || own <= resumeUnhandledInput && enoughMemory {
+	c.ReleaseHeldInput(membudget.UnhandledInput, n)
+}
+
+// HoldInput is ReserveInput for input whose memory is accounted for elsewhere, as memory of a kind.
+func (c *Conn) HoldInput(kind membudget.Kind, n int) {
+	own := c.unhandledInput.Add(int64(n))
+	if own > maxUnhandledInput || own > 0 && c.engine.isShort(kind) {
+		c.pause(pausedForInput)
+	}
+}
+
+// ReleaseHeldInput releases n bytes that HoldInput has recorded, and lets the poller read on if that was all, or nearly all.
+func (c *Conn) ReleaseHeldInput(kind membudget.Kind, n int) {
+	own := c.unhandledInput.Add(int64(-n))
+	if own <= 0 || own <= resumeUnhandledInput && !c.engine.isShort(kind) {
 		c.resume(pausedForInput)
 	}
 }
+
+// isShort reports whether more than half of a kind of memory is in use.
+func (e *Engine) isShort(kind membudget.Kind) bool { return e.Budget.Free(kind) < e.Budget.Max(kind)/2 }
--- a/internal/net/transport/tracker.go
+++ b/internal/net/transport/tracker.go
@@ -25,7 +25,7 @@
 	progressWeight = 0.25 // of the time since a message began, while it makes progress
 
 	// Within evictionGrace, for a new connection that finds no slot: messages that have just begun go before connections that
-	// were just used, and both after all others.
+	// were just used for the first time, and both after all others. A connection that is used again and again does not go.
 	begunWeight = 1e-2
 	usedWeight  = 1e-6
 )
@@ -179,12 +179,12 @@
 		return singleWeight * quiet
 	case !partial && quiet >= evictionGrace:
 		return quiet
-	case !urgent || n.Messages == 0 && !partial:
-		return 0
-	case partial:
+	case urgent && partial:
 		return 1 + scaleDuration(begun, begunWeight)
+	case urgent && n.Messages == 1:
+		return 1 + scaleDuration(quiet, usedWeight)
 	}
-	return 1 + scaleDuration(quiet, usedWeight)
+	return 0
 }
 
 // scaleDuration returns a duration times a factor.
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -177,9 +177,11 @@
 	if c.pauses.Load() != 0 {
 		c.watchEvents()
 	}
-	for i := 0; (i < maxReadsInRow || c.PeerClosed()) && c.pauses.Load() == 0; i++ {
+	total, maxInRow := 0, c.maxBytesInRow()
+	for i := 0; (i < maxReadsInRow && total < maxInRow || c.PeerClosed()) && c.pauses.Load() == 0; i++ {
 		buffer := c.readBuffer()
 		n, err := nc.Read(buffer)
+		total += max(0, n)
 		if n > 0 {
 			e.In.Add(uint64(n))
 			if c.ended.Load() {
@@ -206,6 +208,14 @@
 	}
 }
 
+// maxBytesInRow returns how many bytes are read from the connection before the poller goes on to the next.
+func (c *Conn) maxBytesInRow() int {
+	if c.readLimiter == nil {
+		return maxReadsInRow * readBufferSize
+	}
+	return c.readLimiter.MaxReadBytes(c)
+}
+
 // readBuffer returns the buffer for the next read: the shared one, cut to the size that the handler allows.
 func (c *Conn) readBuffer() []byte {
 	if c.readLimiter == nil || c.ended.Load() {
--- a/internal/net/transport/write.go
+++ b/internal/net/transport/write.go
@@ -10,12 +10,17 @@
 
 const (
 	maxUnwrittenPerConn = 10 << 20 // limit of the bytes waiting to be written on one connection
-	maxJoinedWrite      = 64 << 10 // buffers of up to this many bytes in total are joined into one write
+	// Beyond the engine's limit, a connection may have the limit divided by fairUnwrittenDivisor, until all connections together
+	// have the limit and a part of it, given by unwrittenReserveDivisor.
+	fairUnwrittenDivisor    = 32
+	unwrittenReserveDivisor = 4
+
+	maxJoinedWrite = 64 << 10 // buffers of up to this many bytes in total are joined into one write
 )
 
 // Write writes the buffers in order. It never blocks and keeps no reference to them. If more bytes wait to be written
-// than the engine allows, it closes the connection, since its peer does not read. After any error, OnClosed has been
-// or will be called.
+// than the engine allows, it closes the connection if many of them wait there, since its peer does not read. After any
+// error, OnClosed has been or will be called.
 func (c *Conn) Write(buffers ...[]byte) error {
 	if c.ended.Load() {
 		return errConnEnded
@@ -24,7 +29,7 @@
 	for _, p := range buffers {
 		total += len(p)
 	}
-	if c.engine.unwritten.Load()+int64(total) > c.engine.maxUnwritten.Load() && c.unwritten.Load() > 0 {
+	if c.exceedsUnwritten(int64(total)) {
 		err := fmt.Errorf("too many unwritten bytes: %d on all connections, %d on this connection", c.engine.unwritten.Load(), c.unwritten.Load())
 		c.Close(err)
 		return err
@@ -38,6 +43,17 @@
 	return nil
 }
 
+// exceedsUnwritten reports whether the connection must be closed for n more bytes that would wait to be written. Beyond the
+// engine's limit those go first on which much waits, and beyond a quarter more all others on which anything does.
+func (c *Conn) exceedsUnwritten(n int64) bool {
+	limit, own := c.engine.maxUnwritten.Load(), c.unwritten.Load()
+	all := c.engine.unwritten.Load() + n
+	if all <= limit || own <= 0 {
+		return false
+	}
+	return own+n > limit/fairUnwrittenDivisor || all > limit+limit/unwrittenReserveDivisor
+}
+
 // writeBuffers passes the buffers, of total bytes, to nbio, which copies what the kernel does not accept at once.
 // Small buffers are joined: a copy costs less than another system call, and they are sent in one packet.
 func (c *Conn) writeBuffers(buffers [][]byte, total int) error {
--- a/lab/crowd/crowd.go
+++ b/lab/crowd/crowd.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"larchusher/client/rpc"
 	"larchusher/lab/loopback"
 )
 
@@ -47,21 +48,35 @@
 	trickleInterval = 40 * time.Millisecond
 	redialInterval  = 50 * time.Millisecond // after a failed connect
 	startSpread     = time.Millisecond      // between the starts of two clients
+	closeCrossing   = 50 * time.Millisecond // a request that crosses the close of its connection within this time is sent again
 )
 
+var errNoAnswer = errors.New("no answer")
+
 // Crowd is a running crowd.
 type Crowd struct {
 	spec   Spec
 	cancel context.CancelFunc
 	done   sync.WaitGroup
+	txn    atomic.Uint64
+
+	connections, ended, completed, answered, late, cut atomic.Int64
+}
 
-	txn         atomic.Uint64
-	Connections atomic.Int64 // connections that were established
-	Ended       atomic.Int64 // of these, those that the gateway closed
-	Completed   atomic.Int64 // requests that were written completely
-	Answered    atomic.Int64 // answers that were read
-	Late        atomic.Int64 // answers to trickled orders that came after the order's time limit
-	Cut         atomic.Int64 // trickled orders that were written completely and whose connection ended without an answer
+// Counts is what a crowd has done and seen.
+type Counts struct {
+	Connections int64 // connections that were established
+	Ended       int64 // of these, those that the gateway closed
+	Completed   int64 // requests that were written completely
+	Answered    int64 // answers that were read, of behaviors that read them one by one
+	Late        int64 // answers to trickled orders that came after the order's time limit
+	Cut         int64 // trickled orders that were written completely and whose connection ended without an answer
+}
+
+// Counts returns what the crowd has done and seen so far.
+func (c *Crowd) Counts() Counts {
+	return Counts{Connections: c.connections.Load(), Ended: c.ended.Load(), Completed: c.completed.Load(), Answered: c.answered.Load(),
+		Late: c.late.Load(), Cut: c.cut.Load()}
 }
 
 // Start starts a crowd, each client on a goroutine of its own. A client whose connection ends connects again.
@@ -93,13 +108,13 @@
 			sleep(ctx, redialInterval)
 			continue
 		}
-		c.Connections.Add(1)
+		c.connections.Add(1)
 		stop := context.AfterFunc(ctx, func() { loopback.Close(conn) })
 		err = c.play(ctx, conn, index)
 		if stop() {
 			loopback.Close(conn)
 			if err != nil {
-				c.Ended.Add(1)
+				c.ended.Add(1)
 			}
 		}
 	}
@@ -157,7 +172,7 @@
 		if _, err := conn.Write(message()); err != nil {
 			return err
 		}
-		c.Completed.Add(1)
+		c.completed.Add(1)
 	}
 }
 
@@ -172,42 +187,65 @@
 		if _, err := conn.Write(b); err != nil {
 			return err
 		}
-		c.Completed.Add(perWrite)
+		c.completed.Add(perWrite)
 	}
 }
 
 // trickle writes orders slowly and reads the answer to each before it begins the next.
 func (c *Crowd) trickle(ctx context.Context, conn net.Conn) error {
-	answers := newAnswerReader(conn)
+	answers, ended := make(chan struct{}, 1), make(chan error, 1)
+	go func() {
+		for reader := rpc.NewReader(conn); ; answers <- struct{}{} {
+			if _, err := reader.Next(); err != nil {
+				ended <- err
+				return
+			}
+		}
+	}()
 	for {
-		message := c.order()
-		for len(message) > 0 {
-			n := min(trickleBytes, len(message))
-			if _, err := conn.Write(message[:n]); err != nil {
-				return err
+		if err := c.trickleOrder(ctx, conn, ended); err != nil || ctx.Err() != nil {
+			return err
+		}
+		c.completed.Add(1)
+		sentAt := time.Now()
+		select {
+		case <-answers:
+			c.answered.Add(1)
+			if time.Since(sentAt) > orderLimit+answerSlack {
+				c.late.Add(1)
 			}
-			message = message[n:]
-			if len(message) > 0 && !sleep(ctx, trickleInterval) {
-				return nil
+		case err := <-ended:
+			if ctx.Err() == nil && time.Since(sentAt) > closeCrossing {
+				c.cut.Add(1)
 			}
+			return err
+		case <-time.After(2 * orderLimit):
+			c.late.Add(1)
+			return errNoAnswer
 		}
-		c.Completed.Add(1)
-		sentAt := time.Now()
-		_ = conn.SetReadDeadline(sentAt.Add(2 * orderLimit))
-		switch _, err := answers.Next(); {
-		case ctx.Err() != nil:
-			return nil
-		case err != nil && isTimeout(err):
-			c.Late.Add(1)
+	}
+}
+
+// trickleOrder writes an order in small pieces, until the connection ends.
+func (c *Crowd) trickleOrder(ctx context.Context, conn net.Conn, ended <-chan error) error {
+	for message := c.order(); len(message) > 0; {
+		n := min(trickleBytes, len(message))
+		if _, err := conn.Write(message[:n]); err != nil {
 			return err
-		case err != nil:
-			c.Cut.Add(1)
+		}
+		message = message[n:]
+		if len(message) == 0 {
+			return nil
+		}
+		select {
+		case err := <-ended:
 			return err
-		case time.Since(sentAt) > orderLimit+answerSlack:
-			c.Late.Add(1)
+		case <-ctx.Done():
+			return nil
+		case <-time.After(trickleInterval):
 		}
-		c.Answered.Add(1)
 	}
+	return nil
 }
 
 // closeBehindRequests writes some requests and closes the connection at once.
@@ -220,7 +258,7 @@
 	if _, err := conn.Write(b); err != nil {
 		return err
 	}
-	c.Completed.Add(requests)
+	c.completed.Add(requests)
 	sleep(ctx, time.Millisecond)
 	return nil
 }
@@ -248,8 +286,3 @@
 		return true
 	}
 }
-
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
--- a/lab/crowd/messages.go
+++ b/lab/crowd/messages.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/binary"
 	"fmt"
-	"io"
 	"strings"
 	"time"
 
@@ -20,8 +19,6 @@
 	floodObjects = 50
 )
 
-func newAnswerReader(r io.Reader) *rpc.Reader { return rpc.NewReader(r) }
-
 // encode returns a request as a message.
 func encode(r *rpc.Request) []byte {
 	var b bytes.Buffer
--- a/membudget/holder.go
+++ b/membudget/holder.go
@@ -8,6 +8,8 @@
 	holderShare = 16
 	// smallHolding is what a holder may have in use, in bytes, when only smallReserve is left.
 	smallHolding = 2 << 10
+	// favoredHolding is the same for a holder that is favored, since it does not cause the shortage.
+	favoredHolding = 16 << 10
 	// smallReserve is the share of a kind's limit that is kept for holders of little.
 	smallReserve = 0.3
 )
@@ -24,9 +26,13 @@
 func (b *Budget) NewHolder(k Kind) *Holder { return &Holder{budget: b, kind: k} }
 
 // Reserve adds n bytes to what the holder holds, unless that would exceed its part of the free memory. It reports whether
-// they were added, and counts a refusal.
-func (h *Holder) Reserve(n int64) bool {
-	if !h.mayHold(h.held.Load(), n) {
+// they were added, and counts a refusal. favored holders have a larger part of what is kept for holders of little.
+func (h *Holder) Reserve(n int64, favored bool) bool {
+	small := int64(smallHolding)
+	if favored {
+		small = favoredHolding
+	}
+	if !h.mayHold(h.held.Load(), n, small) {
 		h.budget.Refuse(h.kind)
 		return false
 	}
@@ -34,8 +40,9 @@
 	return true
 }
 
-// mayHold reports whether a holder that holds a number of bytes may hold n more.
-func (h *Holder) mayHold(held, n int64) bool {
+// mayHold reports whether a holder that holds a number of bytes may hold n more, if it may have small bytes in use when little is
+// left.
+func (h *Holder) mayHold(held, n, small int64) bool {
 	if h.budget == nil {
 		return true
 	}
@@ -45,7 +52,7 @@
 	switch {
 	case n > free:
 		return false
-	case held+n <= max(smallHolding, freeForAll/holderShare):
+	case held+n <= max(small, freeForAll/holderShare):
 		return true
 	}
 	return held == 0 && n <= freeForAll/2 // one large piece, such as the body of a request
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -45,8 +45,8 @@
 	UnhandledInput:  {own: 0.2, all: 0.75},
 	OpenRequests:    {own: 0.45, all: 0.8},
 	MigratingInput:  {own: 0.1, all: 0.85},
-	EndpointAnswers: {own: 0.35, all: 0.9},
-	Writes:          {own: 0.5, all: 1},
+	EndpointAnswers: {own: 0.25, all: 0.9},
+	Writes:          {own: 0.4, all: 1},
 	Connections:     {own: 1, all: 1},
 }
 
--- a/membudget/membudget_test.go
+++ b/membudget/membudget_test.go
@@ -40,12 +40,12 @@
 		}
 		for range rapid.IntRange(1, 3000).Draw(t, "requests") {
 			h := holders[rapid.IntRange(0, len(holders)-1).Draw(t, "holder")]
-			h.Reserve(rapid.SampledFrom([]int64{600, 3000, 50_000}).Draw(t, "bytes"))
+			h.Reserve(rapid.SampledFrom([]int64{600, 3000, 50_000}).Draw(t, "bytes"), false)
 		}
 		if b.Used(OpenRequests) > b.Max(OpenRequests) {
 			t.Fatalf("%d bytes in use, want at most %d", b.Used(OpenRequests), b.Max(OpenRequests))
 		}
-		if small := b.NewHolder(OpenRequests); !small.Reserve(700) {
+		if small := b.NewHolder(OpenRequests); !small.Reserve(700, false) {
 			t.Fatalf("a request was refused to a holder of nothing, with %d bytes free of %d", b.Free(OpenRequests), b.Max(OpenRequests))
 		}
 	})
@@ -54,7 +54,7 @@
 func TestNilBudgetHasNoLimit(t *testing.T) {
 	var b *Budget
 	h := b.NewHolder(OpenRequests)
-	if !b.Reserve(Writes, 1<<40) || !h.Reserve(1<<40) {
+	if !b.Reserve(Writes, 1<<40) || !h.Reserve(1<<40, false) {
 		t.Error("a nil budget refused memory")
 	}
 	h.Release(1 << 40)
--- a/overload/admission.go
+++ b/overload/admission.go
@@ -17,12 +17,13 @@
 }
 
 // AdmissionController admits or sheds requests before they enter the gateway's queue. It decides by
-// nothing but a request's front, its class and whether it is a retry. It never blocks and is safe
-// for concurrent use.
+// a request's front, its class, whether it is a retry, and whether its client offers much less than
+// others. It never blocks and is safe for concurrent use.
 type AdmissionController struct {
 	policy  atomic.Pointer[AdmissionPolicy] // nil: everything is admitted
 	offered [][]atomic.Uint64               // requests by front and band
 	shed    [][]atomic.Uint64               // requests by front and band
+	periods loadPeriods
 }
 
 // NewAdmissionController returns an admission controller that admits everything.
@@ -42,9 +43,16 @@
 // evenly distributed number, such as a hash of the request's id. Requests of equal draws are
 // treated alike, and the Retry-After varies with the draw.
 func (ac *AdmissionController) Admit(front, band int, draw uint64) (retryAfter time.Duration, ok bool) {
+	return ac.AdmitFrom(nil, 1, front, band, draw)
+}
+
+// AdmitFrom is Admit for a request of a cost, see [RequestCost], and of a client whose load is recorded. A client that offers much
+// less than others is not shed: it does not cause the load. client may be nil.
+func (ac *AdmissionController) AdmitFrom(client *ClientLoad, cost uint32, front, band int, draw uint64) (retryAfter time.Duration, ok bool) {
 	ac.offered[front][band].Add(1)
+	light := ac.periods.record(client, cost)
 	policy := ac.policy.Load()
-	if policy == nil || uint32(draw%fullShare) < policy.Admit[front][band] {
+	if policy == nil || light || uint32(draw%fullShare) < policy.Admit[front][band] {
 		return 0, true
 	}
 	ac.shed[front][band].Add(1)
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -61,6 +61,7 @@
 // Tick processes the sample of a tick and the counts of the admission controller. It returns the
 // policy for the next tick; nil admits everything. It is to be called every Config.Tick.
 func (c *Controller) Tick(sample Sample, ac *AdmissionController) *AdmissionPolicy {
+	ac.periods.nextTick()
 	scale := 1.0 // factor from this tick to one of regular length
 	if sample.Interval > 0 {
 		scale = float64(c.cfg.Tick) / float64(sample.Interval)
--- a/overload/memory.go
+++ b/overload/memory.go
@@ -80,6 +80,8 @@
 	// maxReservedRatio is the multiple of the limit that may be reserved in total. It is above 1
 	// because a request takes memory only when it is answered, and endpoints may not answer.
 	maxReservedRatio = 4
+	// smallReservationDivisor gives what a client may reserve whatever others have reserved: the limit divided by this.
+	smallReservationDivisor = 64
 	// maxClientShare is the share of the free memory that one client may use.
 	maxClientShare = 0.25
 )
@@ -100,7 +102,8 @@
 // mayReserve reports whether n bytes may be reserved for a client. For a client with unread
 // responses, reserved bytes count as buffered ones.
 func (m *Memory) mayReserve(c *Client, n int64) bool {
-	if m.reserved+n > maxReservedRatio*m.limit {
+	isSmall := c.reserved+n <= m.limit/smallReservationDivisor
+	if m.reserved+n > maxReservedRatio*m.limit && !isSmall {
 		return false
 	}
 	if c.buffered <= 0 {
--- a/overload/queue.go
+++ b/overload/queue.go
@@ -10,54 +10,30 @@
 // the request that it queues, so that queueing allocates nothing, and removal takes constant time
 // at any position.
 type Item struct {
-	Value any // for the caller's use
+	Value any   // for the caller's use
+	Flow  *Flow // the requests that share turns with this one, such as those of a connection; nil: it has turns of its own
 
-	next, prev   *Item
-	list         *itemList // nil: not queued
+	links        [orders]itemLinks
+	lane         *lane // nil: not queued
+	turn         *turn
+	ownFlow      Flow
 	band, front  int
 	arrived      time.Duration
 	pausedBefore time.Duration // the queue's pausedTime on arrival
 }
 
 // Queued reports whether the item is in a queue.
-func (i *Item) Queued() bool { return i.list != nil }
-
-// itemList is a doubly linked list of items in the order in which they were added.
-type itemList struct{ first, last *Item }
-
-func (l *itemList) push(i *Item) {
-	i.list, i.prev, i.next = l, l.last, nil
-	if l.last != nil {
-		l.last.next = i
-	} else {
-		l.first = i
-	}
-	l.last = i
-}
-
-func (l *itemList) remove(i *Item) {
-	if i.prev != nil {
-		i.prev.next = i.next
-	} else {
-		l.first = i.next
-	}
-	if i.next != nil {
-		i.next.prev = i.prev
-	} else {
-		l.last = i.prev
-	}
-	i.next, i.prev, i.list = nil, nil, nil
-}
+func (i *Item) Queued() bool { return i.lane != nil }
 
 // Queue holds admitted requests until they are served. It serves the bands in order, within a band
-// the fronts in turn, and within a front the requests in the order in which they were added. Its
-// length is bounded by waiting time: [Queue.PopExpired] returns requests that have waited for too
-// long. Waits do not include pauses of the program.
+// the fronts in turn, within a front the flows in turn, and within a flow the requests in the order
+// in which they were added. Its length is bounded by waiting time: [Queue.PopExpired] returns
+// requests that have waited for too long. Waits do not include pauses of the program.
 type Queue struct {
-	lists     [][]itemList // by band, then by front
-	nextFront []int        // by band: the front whose turn it is
-	count     []int        // items by band
-	size      int          // total number of items
+	lanes     [][]lane // by band, then by front
+	nextFront []int    // by band: the front whose turn it is
+	count     []int    // items by band
+	size      int      // total number of items
 
 	maxWait    time.Duration
 	pausedTime time.Duration // total of all pauses so far
@@ -69,7 +45,7 @@
 func NewQueue(bands, fronts int, maxWait time.Duration) *Queue {
 	q := &Queue{nextFront: make([]int, bands), count: make([]int, bands), maxWait: maxWait}
 	for range bands {
-		q.lists = append(q.lists, make([]itemList, fronts))
+		q.lanes = append(q.lanes, make([]lane, fronts))
 	}
 	return q
 }
@@ -78,7 +54,7 @@
 // band returns the new band of an item by its Value. Within a band and front, items are in the
 // order of their arrival times, and they keep the time that they have waited.
 func (q *Queue) Rebanded(bands int, band func(value any) int) *Queue {
-	next := NewQueue(bands, len(q.lists[0]), q.maxWait)
+	next := NewQueue(bands, len(q.lanes[0]), q.maxWait)
 	next.pausedTime, next.grace, next.graceEnds = q.pausedTime, q.grace, q.graceEnds
 	var all []*Item
 	for i := q.Pop(); i != nil; i = q.Pop() {
@@ -108,7 +84,7 @@
 	}
 	i.band, i.front = band, front
 	i.arrived, i.pausedBefore = arrived, q.pausedTime
-	q.lists[band][front].push(i)
+	q.lanes[band][front].push(i)
 	q.count[band]++
 	q.size++
 }
@@ -118,13 +94,13 @@
 	if !q.contains(i) {
 		return
 	}
-	i.list.remove(i)
+	i.lane.remove(i)
 	q.count[i.band]--
 	q.size--
 }
 
 func (q *Queue) contains(i *Item) bool {
-	return i.Queued() && i.band < len(q.lists) && i.list == &q.lists[i.band][i.front]
+	return i.Queued() && i.band < len(q.lanes) && i.lane == &q.lanes[i.band][i.front]
 }
 
 // Pop removes and returns the item to serve next; nil if there is none.
@@ -133,11 +109,11 @@
 		if n == 0 {
 			continue
 		}
-		fronts := q.lists[b]
+		fronts := q.lanes[b]
 		for range fronts {
 			l := &fronts[q.nextFront[b]]
 			q.nextFront[b] = (q.nextFront[b] + 1) % len(fronts)
-			if i := l.first; i != nil {
+			if i := l.next(); i != nil {
 				q.Remove(i)
 				return i
 			}
@@ -185,12 +161,12 @@
 // nil if there is none.
 func (q *Queue) PopExpired(now time.Duration) *Item {
 	limit := q.WaitLimit(now)
-	for b := len(q.lists) - 1; b >= 0; b-- {
+	for b := len(q.lanes) - 1; b >= 0; b-- {
 		if q.count[b] == 0 {
 			continue
 		}
-		for f := range q.lists[b] {
-			if i := q.lists[b][f].first; i != nil && q.Waited(i, now) > limit {
+		for f := range q.lanes[b] {
+			if i := q.lanes[b][f].oldest(); i != nil && q.Waited(i, now) > limit {
 				q.Remove(i)
 				return i
 			}
@@ -205,8 +181,8 @@
 		if n == 0 {
 			continue
 		}
-		for f := range q.lists[b] {
-			if i := q.lists[b][f].first; i != nil {
+		for f := range q.lanes[b] {
+			if i := q.lanes[b][f].oldest(); i != nil {
 				longest = max(longest, q.Waited(i, now))
 			}
 		}
--- a/routing/events.go
+++ b/routing/events.go
@@ -54,6 +54,7 @@
 	SizeKB        float64       // of the answer; 0: unknown
 	Deadline      time.Duration // time on the director's clock
 	Write         bool
+	LightClient   bool   // its client sends much less than others: it does not cause a shortage
 	Retry         bool   // a retry by the client of a request that was rejected or failed
 	AdmittedClass *Class // the class's settings when the request was admitted; nil: the current ones
 }
--- a/routing/limits.go
+++ b/routing/limits.go
@@ -12,6 +12,7 @@
 const (
 	clientRetryQuota = 0.8 // share of a limit that a client's own retry may use
 	minSharedLimit   = 2.0 // lower bound of a limit over all directors together
+	lightClientQuota = 1.5 // multiple of a limit up to which a light client's request may be in flight
 	minDirectorLimit = 0.1 // lower bound of a limit at one director
 )
 
@@ -29,12 +30,16 @@
 
 // hasCapacity reports whether a limit allows one more attempt in flight. A client's retry has
 // already used part of its time, and a request that is costly for its priority weight displaces
-// others: both may use only a part of the limit.
+// others: both may use only a part of the limit. A request of a light client may exceed it a little,
+// so that it finds capacity where clients that send much use all of it.
 func (d *Director) hasCapacity(l *concurrency.Limit, r *request) bool {
 	quota := d.meanCost.Quota(r.costPerWeight)
 	if r.Retry {
 		quota *= clientRetryQuota
 	}
+	if r.LightClient && l.HasCapacity(lightClientQuota, 0) {
+		return true
+	}
 	return l.HasCapacity(quota, r.draw)
 }
 
--- a/test/rig_test.go
+++ b/test/rig_test.go
@@ -20,6 +20,7 @@
 	"testing"
 	"time"
 
+	"larchusher/lab/crowd"
 	"larchusher/lab/fakeserver"
 	"larchusher/lab/loopback"
 	"larchusher/lab/testbed"
@@ -33,6 +34,9 @@
 
 // TestMain builds the program with the deployment's build command, runs the tests and removes the program.
 func TestMain(m *testing.M) {
+	if crowd.Main() { // this process is a crowd of another one's test
+		return
+	}
 	dir, err := os.MkdirTemp("", "larchusher")
 	if err != nil {
 		panic(err)
