Memory: the signed front, links between gateways and the console are in the account

Cause: what the platform's front was given a bound for stood in the signed front (64 KiB a connection), the links between gateways (512 KiB of a frame, before the sender is known) and answers of stores (strings up to 4 KiB free of account) without one; the console and the checks were read 64 KiB at a time. Change: buffers of both are accounted for as partial input; on the signed front a client that holds most and stands still is turned away with 503, a link is closed. A signed request has its memory reserved before its check. Strings of stores are accounted for from 512 bytes on; console and checks read what a call needs.

--- a/internal/net/admin/admin.go
+++ b/internal/net/admin/admin.go
@@ -96,6 +96,9 @@
 	})
 }
 
+// MaxReadBytes bounds the next read to what a call needs.
+func (c *caller) MaxReadBytes(*transport.Conn) int { return maxCallBytes + 1 }
+
 // OnBytes answers the call once its line is complete. It ignores whatever follows the line.
 func (c *caller) OnBytes(tc *transport.Conn, b []byte, _ time.Time) error {
 	if c.answered {
--- a/internal/net/agentcheck/agentcheck.go
+++ b/internal/net/agentcheck/agentcheck.go
@@ -16,6 +16,9 @@
 // maxHeadBytes is the longest head of an HTTP request, in bytes.
 const maxHeadBytes = 8 << 10
 
+// maxReadBytes is the length of a read, in bytes: most heads are shorter.
+const maxReadBytes = 1 << 10
+
 // Content types and status lines of HTTP answers.
 const (
 	plainText         = "text/plain"
@@ -126,6 +129,9 @@
 // OnOpened limits the lifetime of the connection.
 func (h *health) OnOpened(tc *transport.Conn) { h.checker.closeAfterTimeout(tc) }
 
+// MaxReadBytes bounds the next read to what a head needs.
+func (h *health) MaxReadBytes(*transport.Conn) int { return maxReadBytes }
+
 // OnBytes answers the request once its head is complete. It ignores whatever follows.
 func (h *health) OnBytes(tc *transport.Conn, b []byte, _ time.Time) error {
 	if h.done {
--- a/internal/net/clustertransport/incoming.go
+++ b/internal/net/clustertransport/incoming.go
@@ -1,18 +1,23 @@
 package clustertransport
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
 	"larchusher/cluster"
 	"larchusher/internal/logfields"
 	"larchusher/internal/net/transport"
+	"larchusher/membudget"
 )
 
+var errNoMemory = errors.New("no memory for an incomplete frame")
+
 // incoming is an accepted connection, from a member or a tool. Unless marked, its fields belong to the event loop.
 type incoming struct {
 	transport *Transport
-	frames    frameReader // used on the poller
+	frames    frameReader      // used on the poller
+	buffer    *membudget.Piece // account of the incomplete frame
 
 	conn      *transport.Conn
 	from      string // empty: no frame has been received yet
@@ -22,6 +27,11 @@
 	writer    *frameWriter // nil unless the connection is a tool's
 }
 
+// newIncoming returns the handler of an accepted connection.
+func (t *Transport) newIncoming(budget *membudget.Budget) *incoming {
+	return &incoming{transport: t, buffer: budget.NewPiece(membudget.PartialInput)}
+}
+
 // OnOpened creates the challenge before the first bytes can arrive. It is called on the poller, like the other callbacks.
 func (c *incoming) OnOpened(conn *transport.Conn) {
 	t := c.transport
@@ -51,6 +61,9 @@
 		c.frames.replayed = 0
 		t.loop.Post(func() { t.Counters.Replayed += replayed })
 	}
+	if err == nil && !c.buffer.Resize(int64(cap(c.frames.buf))) {
+		err = errNoMemory
+	}
 	if err != nil {
 		t.loop.Post(func() {
 			t.Counters.Rejected++
@@ -96,6 +109,7 @@
 
 // OnClosed removes the connection from the transport.
 func (c *incoming) OnClosed(*transport.Conn, error) {
+	c.buffer.Release()
 	t := c.transport
 	t.loop.Post(func() {
 		delete(t.accepted, c)
--- a/internal/net/clustertransport/transport.go
+++ b/internal/net/clustertransport/transport.go
@@ -85,7 +85,7 @@
 	}
 	var err error
 	maxConns := 2*len(members) + maxTools
-	t.listener, err = engine.Listen(listen, maxConns, nil, func() transport.Handler { return &incoming{transport: t} })
+	t.listener, err = engine.Listen(listen, maxConns, nil, func() transport.Handler { return t.newIncoming(engine.Budget) })
 	if err != nil {
 		return nil, fmt.Errorf("listening for cluster members and tools: %w", err)
 	}
--- a/internal/net/resp/parser.go
+++ b/internal/net/resp/parser.go
@@ -17,7 +17,7 @@
 	maxStrings     = 8         // in one array
 	maxLineBytes   = 32        // of a line with a length
 
-	maxUnreservedBytes = 4 << 10 // strings up to this length need no reservation
+	maxUnreservedBytes = 512 // strings up to this length need no reservation
 )
 
 // lineEnd terminates lines and strings.
--- a/internal/net/signedfront/conn.go
+++ b/internal/net/signedfront/conn.go
@@ -10,13 +10,16 @@
 	"larchusher/gateway"
 	"larchusher/internal/httpapi"
 	"larchusher/internal/net/transport"
+	"larchusher/membudget"
 	"larchusher/overload"
 )
 
 // conn is one client connection. Its fields are used on the loop only, except for postedInputs.
 type conn struct {
 	front        *Front
-	postedInputs atomic.Int64 // reads whose input the loop has not handled yet
+	buffer       *membudget.Piece  // account of buf
+	memory       *membudget.Holder // of the request that is open or being checked
+	postedInputs atomic.Int64      // reads whose input the loop has not handled yet
 	tc           *transport.Conn
 	client       *gateway.Client
 	load         overload.ClientLoad
@@ -69,13 +72,26 @@
 	return nil
 }
 
+// MaxReadBytes bounds the next read, so that a client that sends much does not fill the memory for unhandled input.
+func (c *conn) MaxReadBytes(*transport.Conn) int {
+	if c.front.budget.Free(membudget.UnhandledInput) <= 0 {
+		return shortReadBytes
+	}
+	return usualReadBytes
+}
+
 // OnClosed abandons the open request and cancels the queued check.
 func (c *conn) OnClosed(_ *transport.Conn, _ error) {
+	c.buffer.Release()
 	c.front.loop.Post(func() {
 		c.closed = true
+		c.buf = nil
 		delete(c.front.conns, c)
 		c.front.tracker.Remove(c.tracked)
-		c.front.gateway.CancelQueued(&c.queuedCheck)
+		if c.checking {
+			c.front.gateway.CancelQueued(&c.queuedCheck)
+			c.memory.Release(c.memory.Held())
+		}
 		if c.current != nil {
 			abandoned := c.current
 			c.current = nil
@@ -96,10 +112,42 @@
 		tc.CloseGracefully(fmt.Errorf("client sent more than %d bytes before an answer", maxPipelinedBytes), transport.LingerTime)
 		return
 	}
-	c.buf = append(c.buf, b...)
+	if !c.keep(b) {
+		return
+	}
 	c.startNext()
 }
 
+// keep adds input to the buffer, or turns a client away if there is no memory for it. It reports whether the input was kept.
+func (c *conn) keep(b []byte) bool {
+	needed := len(c.buf) + len(b)
+	if needed > cap(c.buf) {
+		capacity := max(needed, min(bufferGrowFactor*needed, maxPipelinedBytes))
+		if !c.front.makeRoom(c, int64(capacity)) {
+			c.turnAway()
+			return false
+		}
+		c.buf = append(make([]byte, 0, capacity), c.buf...)
+	}
+	c.buf = append(c.buf, b...)
+	return true
+}
+
+// turnAway answers an incomplete request with status 503 and closes the connection, after the answer to an open request.
+func (c *conn) turnAway() {
+	c.releaseBuffer()
+	c.closing = true
+	if c.current == nil && !c.checking {
+		c.respondProblem(httpapi.Overloaded(c.front.gateway.RetryAfter(c.tc.Remote)))
+	}
+}
+
+// releaseBuffer frees the buffer.
+func (c *conn) releaseBuffer() {
+	c.buf = nil
+	c.buffer.Resize(0)
+}
+
 // startNext starts the next request once it has arrived completely.
 func (c *conn) startNext() {
 	for c.canStartNext() && len(c.buf) > 0 {
@@ -114,11 +162,25 @@
 			return
 		}
 		body := append([]byte(nil), c.buf[size:size+h.bodyLength]...)
-		c.buf = append(c.buf[:0], c.buf[size+h.bodyLength:]...)
+		c.consume(size + h.bodyLength)
 		c.sentContinue, c.closing = false, !h.keepAlive || c.front.closeAfterAnswer
 		c.tracked.Received(c.front.loop.Now(), 1, false)
-		c.enqueueCheck(h, body, c.lastByte)
+		if memory := int64(gateway.RequestBytes + size + h.bodyLength); c.memory.Reserve(memory, c.load.Light()) {
+			c.enqueueCheck(h, body, c.lastByte, memory)
+		} else {
+			c.respondProblem(httpapi.Overloaded(c.front.gateway.RetryAfter(h.target)))
+		}
+	}
+}
+
+// consume removes a request from the start of the buffer, which is freed once it is empty.
+func (c *conn) consume(n int) {
+	rest := c.buf[n:]
+	if len(rest) == 0 {
+		c.releaseBuffer()
+		return
 	}
+	c.buf = append(c.buf[:0], rest...)
 }
 
 // canStartNext reports whether the next request may start.
@@ -142,14 +204,16 @@
 // enqueueCheck queues a request for the check of its token. Checking a token takes longer than everything else that
 // the loop does for a request before its turn, and would delay the platform's clients. Requests that admission
 // control sheds are queued separately, as rejections.
-func (c *conn) enqueueCheck(h *head, body []byte, at time.Time) {
+func (c *conn) enqueueCheck(h *head, body []byte, at time.Time, memory int64) {
 	f := c.front
 	class := f.api.Class(h.target)
 	_, admitted := f.gateway.Admit(gateway.Arrival{Front: gateway.SignedFront, Client: &c.load, Class: []byte(class),
 		Retry: httpapi.IsRetry(h.get), ID: []byte(h.target), BodyBytes: len(body)})
 	run := func(shed bool) {
 		c.checking = false
-		c.checkAndSubmit(h, body, at, shed)
+		if !c.checkAndSubmit(h, body, at, shed, memory) {
+			c.memory.Release(memory)
+		}
 		if c.current == nil && !c.closing {
 			f.loop.Post(c.startNext)
 		}
@@ -163,13 +227,14 @@
 }
 
 // checkAndSubmit checks a request's token and submits the request to the gateway, or rejects it if it is shed: only a
-// client with a valid token learns that the gateway is overloaded.
-func (c *conn) checkAndSubmit(h *head, body []byte, at time.Time, shed bool) {
+// client with a valid token learns that the gateway is overloaded. It reports whether the gateway has taken over the request with
+// its memory.
+func (c *conn) checkAndSubmit(h *head, body []byte, at time.Time, shed bool, memory int64) bool {
 	f := c.front
 	if f.closed { // after CloseAll or Retire the keys may no longer be valid
 		c.closing = true
 		c.respondProblem(httpapi.Overloaded(f.gateway.RetryAfter(h.target)))
-		return
+		return false
 	}
 	authorized, p := f.api.Authorize(httpapi.Request{Method: h.method, Target: h.target, Header: h.get, Body: body, ReceivedAt: at})
 	if p == nil && shed {
@@ -177,7 +242,7 @@
 	}
 	if p != nil {
 		c.respondProblem(p)
-		return
+		return false
 	}
 	f.Admitted++
 	authorized.Request.ID = f.newRequestID()
@@ -195,7 +260,9 @@
 			f.loop.Post(c.startNext)
 		}
 	}
+	r.Memory, r.MemoryBytes, r.LightClient = c.memory, memory, c.load.Light()
 	f.gateway.Submit(r)
+	return true
 }
 
 // respondProblem writes an answer that the front gives without the gateway.
--- a/internal/net/signedfront/front.go
+++ b/internal/net/signedfront/front.go
@@ -11,11 +11,15 @@
 	"larchusher/gateway"
 	"larchusher/internal/httpapi"
 	"larchusher/internal/net/transport"
+	"larchusher/membudget"
 )
 
 const (
 	sweepInterval     = 250 * time.Millisecond                             // interval between checks for idle and stalled connections
 	maxPipelinedBytes = maxHeadBytes + httpapi.MaxBodyBytes + len(headEnd) // bytes that a client may send before an answer
+	bufferGrowFactor  = 2                                                  // by which the buffer of an incomplete request grows
+	usualReadBytes    = 16 << 10                                           // bytes of a read
+	shortReadBytes    = 1 << 10                                            // bytes of a read while too much input is unhandled
 	flushPollInterval = 5 * time.Millisecond                               // interval between checks whether the last answer has been written
 )
 
@@ -31,6 +35,7 @@
 type Front struct {
 	loop             *gateway.Loop
 	gateway          *gateway.Gateway
+	budget           *membudget.Budget
 	api              *httpapi.API
 	log              logrus.FieldLogger
 	conns            map[*conn]bool
@@ -48,7 +53,7 @@
 // New returns a front for at most maxConns connections. NewHandler creates their handlers. seed makes the IDs of its
 // requests differ from those of other gateways.
 func New(loop *gateway.Loop, g *gateway.Gateway, api *httpapi.API, maxConns int, seed uint64, log logrus.FieldLogger) *Front {
-	f := &Front{loop: loop, gateway: g, api: api, log: log, conns: map[*conn]bool{}, seed: seed,
+	f := &Front{loop: loop, gateway: g, budget: g.Budget(), api: api, log: log, conns: map[*conn]bool{}, seed: seed,
 		tracker: transport.NewConnTracker(maxConns), ProblemsByReason: map[string]uint64{}, AnswersByStatus: map[int]uint64{}}
 	loop.After(sweepInterval, f.sweep)
 	return f
@@ -58,7 +63,37 @@
 func (f *Front) SetAPI(api *httpapi.API) { f.api = api }
 
 // NewHandler returns the handler of a new connection. It may be called from any goroutine.
-func (f *Front) NewHandler() transport.Handler { return &conn{front: f} }
+func (f *Front) NewHandler() transport.Handler {
+	return &conn{front: f, buffer: f.budget.NewPiece(membudget.PartialInput), memory: f.budget.NewHolder(membudget.OpenRequests)}
+}
+
+// makeRoom lets the buffer of a connection have a capacity. If there is not enough memory, it turns away other clients with
+// incomplete requests, first those that hold most and have sent nothing for longest. It reports whether there is enough then.
+func (f *Front) makeRoom(c *conn, capacity int64) bool {
+	for !c.buffer.Resize(capacity) {
+		worst := f.worstIncomplete(c)
+		if worst == nil {
+			return false
+		}
+		worst.turnAway()
+	}
+	return true
+}
+
+// worstIncomplete returns the connection, other than c, whose incomplete request takes most and has made no progress for longest;
+// nil if there is none.
+func (f *Front) worstIncomplete(c *conn) (worst *conn) {
+	most := 0.0
+	for other := range f.conns {
+		if other == c || other.closing || other.tc.Closing() {
+			continue
+		}
+		if score := float64(other.buffer.Bytes()) * f.loop.Now().Sub(other.lastByte).Seconds(); score > most {
+			worst, most = other, score
+		}
+	}
+	return worst
+}
 
 // Idle reports whether no request is open or being checked, and all answers have been written.
 func (f *Front) Idle() bool {
--- a/membudget/membudget_test.go
+++ b/membudget/membudget_test.go
@@ -68,3 +68,15 @@
 		t.Errorf("the least limit %d gives a budget of %d bytes, want about %d", p.Limit, got, minBudget)
 	}
 }
+
+func TestPieceIsAccountedForOnce(t *testing.T) {
+	b := New(1000)
+	p := b.NewPiece(PartialInput)
+	if !p.Resize(400) || p.Resize(501) || !p.Resize(100) || b.Used(PartialInput) != 100 || p.Bytes() != 100 {
+		t.Errorf("after resizing to 400, 501 and 100 bytes of at most 500, %d are in use, want 100", b.Used(PartialInput))
+	}
+	p.Release()
+	if !p.Resize(300) || b.Used(PartialInput) != 0 {
+		t.Errorf("%d bytes are in use after a release, want none whatever follows", b.Used(PartialInput))
+	}
+}
