--- a/test/identity_test.go
+++ b/test/identity_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"net"
 	"slices"
 	"strings"
 	"testing"
@@ -103,3 +105,50 @@
 		t.Errorf("%d requests for the former stores were written to the processes at their addresses, want none", n)
 	}
 }
+
+// Guards against attempts for a client that has left, in each way in which it can leave: nothing may be sent to a store after
+// that, though the attempt that is out fails in a way that is retried, and requests that wait behind it are started.
+func TestNoAttemptBeginsAfterClientLeft(t *testing.T) {
+	tcp := func(c *client) *net.TCPConn { return c.conn.(*net.TCPConn) }
+	for name, leave := range map[string]func(c *client){
+		"close":      func(c *client) { loopback.Close(c.conn) },
+		"reset":      func(c *client) { _ = tcp(c).SetLinger(0); loopback.Close(c.conn) },
+		"half-close": func(c *client) { _ = tcp(c).CloseWrite() },
+		"close with unread answers": func(c *client) {
+			for i := range 20 {
+				c.send("images", fmt.Sprintf("%016x", i), 2*time.Second, "")
+			}
+			time.Sleep(100 * time.Millisecond) // the answers come, and are not read
+			loopback.Close(c.conn)
+		},
+		"close behind input that is not read yet": func(c *client) {
+			var b []byte
+			for i := range 2000 {
+				b = append(b, c.encodeRequest("films", fmt.Sprintf("%016x", i), 5*time.Second, "")...)
+			}
+			_ = tcp(c).SetWriteDeadline(time.Now().Add(time.Second))
+			_, _ = c.conn.Write(b)
+			loopback.Close(c.conn)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t).start()
+			films := r.withholdFilms()
+			c := r.client()
+			c.send("films", object, 5*time.Second, "")
+			a := receive(t, films)
+			leave(c)
+			eventually(t, "the store is told that the client has left", func() bool { return slices.Contains(r.quits(), a.ID) })
+			time.Sleep(100 * time.Millisecond) // for attempts that were on their way
+			before := len(r.storeRequests(""))
+			for len(films) > 0 {
+				(<-films).Reply("BROKE", "-", "")
+			}
+			a.Reply("BROKE", "-", "")
+			time.Sleep(300 * time.Millisecond)
+			if n := len(r.storeRequests("")) - before; n > 0 {
+				t.Errorf("%d attempts began over 0.1 s after the client had left, want none", n)
+			}
+		})
+	}
+}
