Memory: a limit that is too small for clients or for an upgrade is told at the start

Need: what can't be had at a limit is to be told, with the key and the least that will do; a start is never refused for it. Result: TestSmallMemoryLimitIsNamed passes: at 24 MB the line is there and a request is served.

--- a/cmd/larchusher/memory.go
+++ b/cmd/larchusher/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"runtime/debug"
 	"time"
 
@@ -18,6 +19,8 @@
 	expectedFileBytes   = 12 << 20               // resident memory that is mapped from files, if it cannot be measured
 	leastGoLimit        = 8 << 20                // soft limit of the Go runtime where the memory limit leaves less
 	leastBudget         = 1 << 20                // budget where the memory limit leaves less
+	servingBudget       = 6 << 20                // budget that serving a few hundred clients needs
+	upgradeBudget       = 3 << 20                // the same for each process while two share the limit
 	// unreadAnswersShare is the share of the bytes that may wait to be written from which answers are no longer begun for
 	// clients that leave earlier ones unread.
 	unreadAnswersShare = 0.8
@@ -62,15 +65,18 @@
 	}
 }
 
-// warnSmallMemory logs a warning if the memory limit is less than what a few hundred clients need.
-func (p *program) warnSmallMemory() {
+// warnSmallMemory logs a warning if the share of the memory limit that this process may use leaves less than a budget. clients
+// says what that budget is for.
+func (p *program) warnSmallMemory(budget int64, clients string) {
 	const mebibyte = 1 << 20
-	m := membudget.Process{Limit: int64(p.cfg.Limits.MemoryMB) * mebibyte, Files: expectedFileBytes}
-	if least := m.LeastLimit(); m.Limit < least {
-		p.log.WithFields(logrus.Fields{logfields.Keys: "limits.memory_mb", logfields.Detail: fmt.Sprintf(
-			"%d is less than a few hundred clients need: requests may be rejected for want of memory; the least that will do is %d",
-			p.cfg.Limits.MemoryMB, (least+mebibyte-1)/mebibyte)}).Warn(logfields.MemoryLimitSmall)
+	least := membudget.Process{Files: expectedFileBytes}.LeastLimit(budget)
+	leastMB := int(math.Ceil(float64(least) / p.memoryShare / mebibyte))
+	if p.cfg.Limits.MemoryMB >= leastMB {
+		return
 	}
+	p.log.WithFields(logrus.Fields{logfields.Keys: "limits.memory_mb", logfields.Detail: fmt.Sprintf(
+		"%d is less than %s needs: requests may be rejected for want of memory, or the limit passed; the least that will do is %d",
+		p.cfg.Limits.MemoryMB, clients, leastMB)}).Warn(logfields.MemoryLimitSmall)
 }
 
 // maxUnwritten returns the limit in bytes on what waits to be written to sockets.
--- a/cmd/larchusher/start.go
+++ b/cmd/larchusher/start.go
@@ -21,8 +21,8 @@
 		p.log.WithField(logfields.Detail, w).Warn(logfields.ConfigCorrected)
 	}
 	p.budget = membudget.New(0)
-	p.warnSmallMemory()
 	p.useMemory(1)
+	p.warnSmallMemory(servingBudget, "serving a few hundred clients")
 	p.eventStreamID = hashInitialState(p.cfg.InitialState)
 	engine, err := transport.New(p.log, p.maxUnwritten())
 	if err != nil {
--- a/cmd/larchusher/successor.go
+++ b/cmd/larchusher/successor.go
@@ -85,6 +85,7 @@
 		return known, nil
 	}
 	p.useMemory(overlapResourceShare)
+	p.warnSmallMemory(upgradeBudget, "an upgrade under load")
 	handed, err := p.process.RequestHandover(stateTimeout)
 	var state handedState
 	if err == nil {
--- a/membudget/membudget_test.go
+++ b/membudget/membudget_test.go
@@ -33,7 +33,7 @@
 // Whatever many holders hold, one that holds nothing must get a small piece.
 func TestSmallHolderFindsMemory(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := New(rapid.Int64Range(minBudget, 200<<20).Draw(t, "limit"))
+		b := New(rapid.Int64Range(6<<20, 200<<20).Draw(t, "limit"))
 		holders := make([]*Holder, rapid.IntRange(1, 340).Draw(t, "holders"))
 		for i := range holders {
 			holders[i] = b.NewHolder(OpenRequests)
@@ -62,10 +62,11 @@
 }
 
 func TestLeastLimitSuffices(t *testing.T) {
+	const budget = 6 << 20
 	p := Process{Files: 12 << 20}
-	p.Limit = p.LeastLimit()
-	if got := p.Budget(); got < minBudget-1<<10 || got > minBudget+1<<20 {
-		t.Errorf("the least limit %d gives a budget of %d bytes, want about %d", p.Limit, got, minBudget)
+	p.Limit = p.LeastLimit(budget)
+	if got := p.Budget(); got < budget-1<<10 || got > budget+1<<20 {
+		t.Errorf("the least limit %d gives a budget of %d bytes, want about %d", p.Limit, got, budget)
 	}
 }
 
--- a/membudget/process.go
+++ b/membudget/process.go
@@ -17,8 +17,6 @@
 	// liveShare is the share of the Go runtime's memory that objects in use may take. The rest is for objects that are not
 	// collected yet, and for the unused parts of pages.
 	liveShare = 0.55
-	// minBudget is the least budget with which a few hundred clients are served.
-	minBudget = 6 << 20
 )
 
 // GoLimit returns the memory that the Go runtime may use.
@@ -31,9 +29,9 @@
 	return max(0, int64(liveShare*float64(p.GoLimit()-idleHeapBytes)))
 }
 
-// LeastLimit returns the least limit with which the budget suffices for a few hundred clients.
-func (p Process) LeastLimit() int64 {
-	heap := float64(minBudget) / liveShare
+// LeastLimit returns the least limit that leaves a budget.
+func (p Process) LeastLimit(budget int64) int64 {
+	heap := float64(budget) / liveShare
 	needed := p.Files + nativeBytes + reserveBytes + idleHeapBytes + int64(heap)
 	return needed * reserveDivisor / (reserveDivisor - 1)
 }
--- a/test/settings_test.go
+++ b/test/settings_test.go
@@ -211,3 +211,20 @@
 		t.Errorf("%d connections to the journal, want 1", n)
 	}
 }
+
+// Guards against a memory limit that is too small without a word: the start must name the key and the least that will do, and the
+// program must serve all the same.
+func TestSmallMemoryLimitIsNamed(t *testing.T) {
+	r := newRig(t)
+	r.config["limits"] = map[string]any{"cores": 1, "memory_mb": 24, "sockets": 512}
+	r.start()
+	line := r.waitForLog("msg=\"memory limit small\"")
+	if !strings.Contains(line, "limits.memory_mb") || !strings.Contains(line, "the least that will do is 30") {
+		t.Errorf("log line %q, want the key limits.memory_mb and the least limit, 30", line)
+	}
+	c := r.client()
+	c.send("images", object, 2*time.Second, "")
+	if a := c.readAnswer(); a.err != "" {
+		t.Errorf("answer %+v with a small memory limit, want no error", a)
+	}
+}
