Fairness: crowds that connect anew, or have much served, leave others served

Cause: new connections were accepted however late the loop was, and each cost it more (registration, eviction, abandoned requests); input of clients that had closed was parsed and submitted, then abandoned. A light client's requests met bounds without regard to that: expected answers of all clients, answers dropped since endpoints were read too fast. Change: 64 accepted connections may wait for the loop, on both fronts; large input of a closed client is dropped unparsed, a large batch unsubmitted. Light clients may reserve an eighth of the memory for answers; endpoints are read slowly from a third of theirs on; the load of clients is looked at every 0.12 s, 1.5 deviations.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -38,7 +38,7 @@
 	if r.Client == nil {
 		return true
 	}
-	n, ok := g.memory.Reserve(r.Client.account)
+	n, ok := g.memory.ReserveFor(r.Client.account, r.LightClient)
 	if ok {
 		r.reservedBytes = n
 	}
--- a/internal/net/msgpackrpc/batch.go
+++ b/internal/net/msgpackrpc/batch.go
@@ -17,9 +17,10 @@
 	partial    bool   // the input ends with an incomplete message
 	err        error  // closes the connection
 
-	tc      *transport.Conn
-	begun   bool // the loop has handled a part of the messages
-	handled int  // messages that the loop has handled
+	tc        *transport.Conn
+	begun     bool // the loop has handled a part of the messages
+	abandoned bool // the client has closed the connection
+	handled   int  // messages that the loop has handled
 }
 
 // OnBytes handles the input of one read. Input for the successor process is buffered. A request's time limit counts from
--- a/internal/net/msgpackrpc/conn.go
+++ b/internal/net/msgpackrpc/conn.go
@@ -79,7 +79,7 @@
 
 // OnOpened registers the connection with the front, so that it is closed if it never sends a byte.
 func (c *conn) OnOpened(tc *transport.Conn) {
-	c.front.loop.Post(func() {
+	c.front.opening.Register(c.front.loop.Post, func() {
 		switch {
 		case c.front.closed: // accepted just before CloseAll
 			tc.CloseGracefully(errEnding, transport.LingerTime)
--- a/internal/net/msgpackrpc/front.go
+++ b/internal/net/msgpackrpc/front.go
@@ -29,6 +29,7 @@
 	log     logrus.FieldLogger
 	budget  *membudget.Budget
 	conns   map[*conn]bool
+	opening transport.OpeningLimit
 	tracker *transport.ConnTracker
 	inbox   inbox
 	closed  bool // set by CloseAll
@@ -50,7 +51,7 @@
 // New returns a front for at most maxConns connections. NewHandler creates their handlers. classes are the names of
 // the traffic classes that are served.
 func New(loop *gateway.Loop, g *gateway.Gateway, classes []string, maxConns int, log logrus.FieldLogger) *Front {
-	f := &Front{loop: loop, gateway: g, budget: g.Budget(), log: log, conns: map[*conn]bool{}, startedAt: loop.Now(),
+	f := &Front{loop: loop, gateway: g, budget: g.Budget(), log: log, opening: transport.NewOpeningLimit(), conns: map[*conn]bool{}, startedAt: loop.Now(),
 		tracker: transport.NewConnTracker(maxConns)}
 	f.SetClasses(classes)
 	loop.After(sweepInterval, f.sweep)
--- a/internal/net/msgpackrpc/inbox.go
+++ b/internal/net/msgpackrpc/inbox.go
@@ -108,7 +108,7 @@
 		m := b.messages[b.handled]
 		b.messages[b.handled] = clientMessage{} // its memory is not held until the end of the batch
 		b.handled++
-		if c.closed || b.tc.Closing() {
+		if b.abandoned || c.closed || b.tc.Closing() {
 			c.discard(m)
 		} else {
 			c.handleMessage(m)
@@ -128,6 +128,9 @@
 	if b.err != nil {
 		c.front.Malformed++
 	}
+	// The kernel may know before the loop does that the client has left. It is asked for large batches only, as that costs a
+	// system call; right before an attempt it is asked again.
+	b.abandoned = len(b.messages) > messagesPerTurn && b.tc.PeerClosed()
 	if !c.closed && !b.tc.Closing() {
 		c.tracked.Received(c.front.loop.Now(), len(b.messages)+b.shed, b.partial)
 	}
--- a/internal/net/msgpackrpc/partial.go
+++ b/internal/net/msgpackrpc/partial.go
@@ -112,6 +112,9 @@
 	return usualReadBytes
 }
 
+// InputNeedsPeer makes the poller drop input of a client that has closed its connection: no request of it may be sent on.
+func (c *conn) InputNeedsPeer() {}
+
 // keepPartial keeps further bytes of an incomplete message, or drops a message if there is no memory for them. It runs on the
 // poller goroutine, or in Listener.Adopt, where no other connection's message may be dropped.
 func (c *conn) keepPartial(tc *transport.Conn, b []byte, at time.Time) {
--- a/internal/net/resp/memory.go
+++ b/internal/net/resp/memory.go
@@ -10,13 +10,12 @@
 // Bytes of one read from an endpoint.
 const (
 	usualReadBytes = 64 << 10
-	shortReadBytes = 8 << 10 // while more than half of the memory for answers is in use
+	shortReadBytes = 8 << 10 // while the memory for answers is short
 )
 
 // MaxReadBytes bounds the next read, so that answers are not read much faster than the loop passes them on.
 func (c *conn) MaxReadBytes(*transport.Conn) int {
-	budget := c.pool.cfg.Budget
-	if budget.Free(membudget.EndpointAnswers) < budget.Max(membudget.EndpointAnswers)/2 {
+	if c.pool.cfg.Budget.IsShort(membudget.EndpointAnswers) {
 		return shortReadBytes
 	}
 	return usualReadBytes
--- a/internal/net/signedfront/conn.go
+++ b/internal/net/signedfront/conn.go
@@ -36,7 +36,7 @@
 
 // OnOpened registers the connection with the front, so that it is closed if it never sends a byte.
 func (c *conn) OnOpened(tc *transport.Conn) {
-	c.front.loop.Post(func() {
+	c.front.opening.Register(c.front.loop.Post, func() {
 		switch {
 		case c.front.closed: // accepted just before CloseAll or Retire
 			tc.CloseGracefully(errEnding, transport.LingerTime)
@@ -80,6 +80,9 @@
 	return usualReadBytes
 }
 
+// InputNeedsPeer makes the poller drop input of a client that has closed its connection: no request of it may be sent on.
+func (c *conn) InputNeedsPeer() {}
+
 // OnClosed abandons the open request and cancels the queued check.
 func (c *conn) OnClosed(_ *transport.Conn, _ error) {
 	c.buffer.Release()
--- a/internal/net/signedfront/front.go
+++ b/internal/net/signedfront/front.go
@@ -39,6 +39,7 @@
 	api              *httpapi.API
 	log              logrus.FieldLogger
 	conns            map[*conn]bool
+	opening          transport.OpeningLimit
 	tracker          *transport.ConnTracker
 	requestNumber    uint64
 	seed             uint64
@@ -53,7 +54,7 @@
 // New returns a front for at most maxConns connections. NewHandler creates their handlers. seed makes the IDs of its
 // requests differ from those of other gateways.
 func New(loop *gateway.Loop, g *gateway.Gateway, api *httpapi.API, maxConns int, seed uint64, log logrus.FieldLogger) *Front {
-	f := &Front{loop: loop, gateway: g, budget: g.Budget(), api: api, log: log, conns: map[*conn]bool{}, seed: seed,
+	f := &Front{loop: loop, gateway: g, budget: g.Budget(), api: api, log: log, conns: map[*conn]bool{}, opening: transport.NewOpeningLimit(), seed: seed,
 		tracker: transport.NewConnTracker(maxConns), ProblemsByReason: map[string]uint64{}, AnswersByStatus: map[int]uint64{}}
 	loop.After(sweepInterval, f.sweep)
 	return f
--- a/internal/net/transport/conn.go
+++ b/internal/net/transport/conn.go
@@ -38,6 +38,7 @@
 	settingUp  atomic.Bool   // the listener has not finished handing the connection to its handler
 	notifyOnce sync.Once     // makes OnClosed run once
 
+	needsPeer      bool        // the handler is a PeerBoundHandler
 	readLimiter    ReadLimiter // the handler, if it bounds reads; else nil
 	watchesOutput  bool        // watchEvents has the poller report when the connection can be written; guarded by nbio's lock
 	discardedBytes int         // bytes received after the shutdown; used by the poller only
--- a/internal/net/transport/pause.go
+++ b/internal/net/transport/pause.go
@@ -107,5 +107,5 @@
 	}
 }
 
-// isShort reports whether more than half of a kind of memory is in use.
-func (e *Engine) isShort(kind membudget.Kind) bool { return e.Budget.Free(kind) < e.Budget.Max(kind)/2 }
+// isShort reports whether more than a third of a kind of memory is in use.
+func (e *Engine) isShort(kind membudget.Kind) bool { return e.Budget.IsShort(kind) }
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -25,6 +25,7 @@
 const (
 	readBufferSize  = 64 << 10  // bytes of the read buffer that all connections of an engine share
 	maxReadsInRow   = 3         // full reads from one connection before the poller goes on to the next
+	largeInput      = 1 << 10   // bytes of a read for which it is worth a system call to see whether the peer is there
 	connectionBytes = 3 << 10   // memory for the state of a connection, in this package and in its handler
 	maxKernelUnsent = 128 << 10 // bytes that the kernel buffers for a client beyond those already sent
 )
@@ -61,6 +62,10 @@
 // before each read.
 type ReadLimiter interface{ MaxReadBytes(c *Conn) int }
 
+// PeerBoundHandler is implemented by handlers to which input means nothing once the peer has closed the connection, since nobody
+// waits for what it leads to. Large input of a closed connection is not passed to them.
+type PeerBoundHandler interface{ InputNeedsPeer() }
+
 // Engine owns the poller and all connections of a process. Its methods may be called from any goroutine, except that
 // calls of Inherit and Listen must not run concurrently.
 type Engine struct {
@@ -190,6 +195,9 @@
 				}
 				continue
 			}
+			if c.needsPeer && n >= largeInput && c.PeerClosed() {
+				return // nbio closes the connection at the end of the stream
+			}
 			if err := c.handler.OnBytes(c, buffer[:n], time.Now()); err != nil {
 				c.CloseGracefully(err, shortLinger)
 				return
@@ -250,6 +258,7 @@
 	defer e.connMu.Unlock()
 	c := &Conn{Remote: nc.RemoteAddr().String(), engine: e, nc: nc, handler: h, onDescriptorFree: onDescriptorFree}
 	c.readLimiter, _ = h.(ReadLimiter)
+	_, c.needsPeer = h.(PeerBoundHandler)
 	e.Budget.Add(membudget.Connections, connectionBytes)
 	nc.SetSession(c)
 	_ = nc.SetNoDelay(true) // on failure the connection only has a higher latency
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -89,6 +89,14 @@
 	return min(own, all)
 }
 
+// shortShare is the share of a kind's limit that is free when it counts as short: what is on its way may take the rest.
+const shortShare = 0.67
+
+// IsShort reports whether less of a kind is free than shortShare of its limit.
+func (b *Budget) IsShort(k Kind) bool {
+	return b != nil && float64(b.Free(k)) < shortShare*float64(b.Max(k))
+}
+
 // Reserve adds n bytes of a kind, unless that would exceed a limit. It reports whether they were added, and counts a
 // refusal.
 func (b *Budget) Reserve(k Kind, n int64) bool {
--- a/overload/clientload.go
+++ b/overload/clientload.go
@@ -10,11 +10,11 @@
 	// standard deviations below it, were requests to come at random. Clients that send alike are all above it, so that an
 	// overload that all of them cause is shed by priority.
 	lightShare      = 0.5
-	lightDeviations = 2
+	lightDeviations = 1.5
 	// bodyBytesPerCost is how many bytes of a body cost as much as a request without one.
 	bodyBytesPerCost = 4 << 10
 	// ticksPerPeriod is the length of a period in which the load of clients is counted, in ticks.
-	ticksPerPeriod = 12
+	ticksPerPeriod = 6
 )
 
 // RequestCost returns the cost of reading a request with a body of some bytes, in requests without one.
--- a/overload/memory.go
+++ b/overload/memory.go
@@ -80,17 +80,20 @@
 	// maxReservedRatio is the multiple of the limit that may be reserved in total. It is above 1
 	// because a request takes memory only when it is answered, and endpoints may not answer.
 	maxReservedRatio = 4
-	// smallReservationDivisor gives what a client may reserve whatever others have reserved: the limit divided by this.
-	smallReservationDivisor = 64
+	// lightReservationDivisor gives what a light client may reserve whatever others have reserved: the limit divided by this.
+	lightReservationDivisor = 8
 	// maxClientShare is the share of the free memory that one client may use.
 	maxClientShare = 0.25
 )
 
 // Reserve reserves memory for the response to another request of a client. It returns the number of
 // bytes reserved, to be released by [Memory.Release]; ok is false if there is not enough memory.
-func (m *Memory) Reserve(c *Client) (n int64, ok bool) {
+func (m *Memory) Reserve(c *Client) (n int64, ok bool) { return m.ReserveFor(c, false) }
+
+// ReserveFor is Reserve. A light client, which does not cause the load, may reserve a little whatever others have reserved.
+func (m *Memory) ReserveFor(c *Client, light bool) (n int64, ok bool) {
 	n = int64(cmp.Or(c.expectedSize, m.expectedSize))
-	if m.limit > 0 && !m.mayReserve(c, n) {
+	if m.limit > 0 && !m.mayReserve(c, n, light) {
 		m.Rejected++
 		return 0, false
 	}
@@ -101,9 +104,9 @@
 
 // mayReserve reports whether n bytes may be reserved for a client. For a client with unread
 // responses, reserved bytes count as buffered ones.
-func (m *Memory) mayReserve(c *Client, n int64) bool {
-	isSmall := c.reserved+n <= m.limit/smallReservationDivisor
-	if m.reserved+n > maxReservedRatio*m.limit && !isSmall {
+func (m *Memory) mayReserve(c *Client, n int64, light bool) bool {
+	favored := light && c.reserved+n <= m.limit/lightReservationDivisor
+	if m.reserved+n > maxReservedRatio*m.limit && !favored {
 		return false
 	}
 	if c.buffered <= 0 {
