--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -97,7 +97,8 @@
 // play plays the run and judges it.
 func (s *soak) play() {
 	stop := make(chan struct{})
-	var playing, sending sync.WaitGroup
+	sampled := make(chan struct{})
+	var playing, sending, sampling sync.WaitGroup
 	for _, g := range s.gateways {
 		for i := range soakClients {
 			c := &soakClient{addr: g.rig.addr, interval: time.Duration(50+g.random.IntN(80)) * time.Millisecond,
@@ -105,9 +106,7 @@
 			g.clients = append(g.clients, c)
 			sending.Go(func() { c.run(stop) })
 		}
-		sampling := make(chan struct{})
-		defer close(sampling)
-		go g.sampleMemory(sampling)
+		sampling.Go(func() { g.sampleMemory(sampled) })
 		playing.Go(g.play)
 	}
 	playing.Go(func() { s.stores.play(s) })
@@ -116,6 +115,8 @@
 	playing.Wait()
 	close(stop)
 	sending.Wait()
+	close(sampled)
+	sampling.Wait() // before the processes are stopped at the end of the test
 	s.judge()
 }
 
