--- a/overload/clientload.go
+++ b/overload/clientload.go
@@ -9,7 +9,7 @@
 	// lightShare and lightDeviations give the load of a light client: at most this share of the mean of all clients, and so many
 	// standard deviations below it, were requests to come at random. Clients that send alike are all above it, so that an
 	// overload that all of them cause is shed by priority.
-	lightShare      = 0.5
+	lightShare      = 0.25
 	lightDeviations = 1.5
 	// bodyBytesPerCost is how many bytes of a body cost as much as a request without one.
 	bodyBytesPerCost = 4 << 10
--- a/test/crowd_signed_test.go
+++ b/test/crowd_signed_test.go
@@ -11,53 +11,68 @@
 	"larchusher/lab/loopback"
 )
 
+const (
+	signedCrowdMB      = 32
+	signedCrowdConns   = 128 // the share of the signed front
+	signedCrowdRepeats = 3   // of each client, since those are turned away that stand still
+	platformCrowdConns = 300
+)
+
 // Guards against memory beyond the limit, and against others that are not served, while clients of both fronts do not finish
 // their requests: on the signed front in the body, or in a head of very many short fields.
 func TestUnfinishedSignedRequestsLeaveOthersServed(t *testing.T) {
-	const (
-		limitMB  = 32
-		sockets  = 1024
-		conns    = 128 // the share of the signed front
-		attempts = 3   // of each client, since those are turned away that stand still
-	)
 	body := "POST /orders/7f3a9c21e0b4d655/3 HTTP/1.1\r\nHost: a\r\nContent-Length: 48000\r\n\r\n" + strings.Repeat("x", 47_000)
 	fields := "GET /images/7f3a9c21e0b4d655/3 HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("a: b\r\n", 2600)
 	for name, request := range map[string]string{"body": body, "fields": fields} {
 		t.Run(name, func(t *testing.T) {
 			r, web := signedRig(t, "", func(r *rig) {
-				r.config["limits"] = map[string]any{"cores": 1, "memory_mb": limitMB, "sockets": sockets}
+				r.config["limits"] = map[string]any{"cores": 1, "memory_mb": signedCrowdMB, "sockets": 1024}
 			})
-			stop := make(chan struct{})
-			var all sync.WaitGroup
-			for range conns {
-				all.Go(func() {
-					for range attempts {
-						if !writePart(t, web, request, stop) {
-							return
-						}
-					}
-				})
-			}
+			stop := startSignedCrowd(t, web, request)
 			order := r.client().encodeRequest("orders", object, 3*time.Second, strings.Repeat("x", orderBytes), "unique", "k")
-			for range 300 {
+			for range platformCrowdConns {
 				r.client().write(order[:len(order)-1000])
 			}
-			c := r.client()
-			for i := range 40 {
-				c.send("images", fmt.Sprintf("%016x", i), 2*time.Second, "")
-				if a := c.readAnswer(); a.err != "" {
-					t.Errorf("request %d beside the crowd: answer %+v, want no error", i, a)
-				}
-				time.Sleep(25 * time.Millisecond)
-			}
-			close(stop)
-			all.Wait()
+			r.checkServed(40, 25*time.Millisecond)
+			stop()
 			t.Logf("peak memory %d MB", r.peakMemoryMB())
-			if mb := r.peakMemoryMB(); mb >= limitMB {
-				t.Errorf("peak memory %d MB, want less than the limit of %d MB", mb, limitMB)
+			if mb := r.peakMemoryMB(); mb >= signedCrowdMB {
+				t.Errorf("peak memory %d MB, want less than the limit of %d MB", mb, signedCrowdMB)
+			}
+		})
+	}
+}
+
+// startSignedCrowd has clients write a part of a request to the signed front, again each time they are turned away.
+func startSignedCrowd(t *testing.T, addr, request string) (stop func()) {
+	stopped := make(chan struct{})
+	var all sync.WaitGroup
+	for range signedCrowdConns {
+		all.Go(func() {
+			for range signedCrowdRepeats {
+				if !writePart(t, addr, request, stopped) {
+					return
+				}
 			}
 		})
 	}
+	return func() {
+		close(stopped)
+		all.Wait()
+	}
+}
+
+// checkServed sends requests at an interval, and fails the test if one is not served.
+func (r *rig) checkServed(n int, interval time.Duration) {
+	r.t.Helper()
+	c := r.client()
+	for i := range n {
+		c.send("images", fmt.Sprintf("%016x", i), 2*time.Second, "")
+		if a := c.readAnswer(); a.err != "" {
+			r.t.Errorf("request %d beside the crowd: answer %+v, want no error", i, a)
+		}
+		time.Sleep(interval)
+	}
 }
 
 // writePart writes a part of a request and waits until the gateway ends the connection. It reports whether it has before stop was
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -328,7 +328,7 @@
 	g.planned = true
 	g.mu.Unlock()
 	_ = g.rig.cmd.Process.Kill()
-	<-g.rig.exited
+	_ = <-g.rig.exited // it was killed
 }
 
 // restart ends the process with SIGTERM, and kills it if it takes longer than the platform allows.
@@ -352,7 +352,7 @@
 		}
 	case <-time.After(killAfterTerm):
 		_ = r.cmd.Process.Kill()
-		<-r.exited
+		_ = <-r.exited // it was killed
 	}
 }
 
