Soak: how a killed process ended is logged

Cause: the linter found the result unchecked (errcheck), and an assignment to the blank identifier in its place (staticcheck). Change: the end is logged.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -328,9 +328,12 @@
 	g.planned = true
 	g.mu.Unlock()
 	_ = g.rig.cmd.Process.Kill()
-	_ = <-g.rig.exited // it was killed
+	g.logExit(<-g.rig.exited)
 }
 
+// logExit logs how a process ended that was killed.
+func (g *soakGateway) logExit(err error) { g.soak.t.Logf("gateway %d: ended with %v", g.index, err) }
+
 // restart ends the process with SIGTERM, and kills it if it takes longer than the platform allows.
 func (g *soakGateway) restart() {
 	g.soak.t.Logf("gateway %d: SIGTERM at %s", g.index, g.soak.seconds(time.Now()))
@@ -352,7 +355,7 @@
 		}
 	case <-time.After(killAfterTerm):
 		_ = r.cmd.Process.Kill()
-		_ = <-r.exited // it was killed
+		g.logExit(<-r.exited)
 	}
 }
 
