Review case 9: a keyed request refused after its window is sent again and runs twice

Change: case 9. A gateway refuses a keyed request that may have run; the client library takes that for proof that it did not, and sends it again after the window in which the main store drops repeats.

--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-var cases = map[string]func(){"6": expiredHead, "7": pipelineAtRestart, "8": healthyTooSoon}
+var cases = map[string]func(){"6": expiredHead, "7": pipelineAtRestart, "8": healthyTooSoon, "9": orderTwice}
 
 const object = "7f3a9c21e0b4d655"
 
--- a/review/stand/gateway.go
+++ b/review/stand/gateway.go
@@ -32,6 +32,21 @@
   "retryAfter":true,"secondCopies":true,"sendCap":8,"streamsPerConn":32},
  "loadInfo":{"fields":["busy_reqs","x1","x0"],"how":"inline"}}`
 
+// besked are those of a small deployment such as kvist-besked.
+const besked = `{"balancers":1,"position":0,"dcs":["nord","edge-1"],"zone":"edge-1","stepMs":2,
+ "classes":[{"name":"mms-media","aimMs":400,"aimStretch":1.6,"dedupScope":"all","effect":"repeatable","hardLimitMs":5000,"lateWorth":0.15,"repeatWindowMs":5000,"streaming":false,"value":2},
+  {"name":"templates","aimMs":400,"aimStretch":2,"dedupScope":"all","effect":"repeatable","hardLimitMs":3000,"lateWorth":0.2,"repeatWindowMs":3000,"streaming":false,"value":1},
+  {"name":"send-order","aimMs":600,"dedupScope":"all","effect":"by_key","hardLimitMs":3000,"lateWorth":0,"repeatWindowMs":2000,"streaming":false,"value":3}],
+ "callers":{"marksRetry":false},"countedBy":"request","discovery":"push","family":"edge","flavors":["small-box","parent","origin"],"weightSource":"nominal",
+ "familyInfo":{"countByZone":[0,1],"homeHub":[0,0],"inPieces":[false,false,false],"inletCost":0.04,"joins":true,"lifetimeByClassMs":[0,8000,0],"mayPassBy":true,
+  "neighbours":"location","neverKept":[false,false,true],"noticeTimeMs":500,"oldCopyWorth":[0.7,0.7,0.7],"parentColdFrom":0.079,"parentColdMs":22000,
+  "purgeSettlesMs":6000,"rootKind":2,"says":"off","shieldKind":1,"staleForMs":[0,0,0],"streamKbPerS":7200,"upperFallMultiple":2,"zoneLinkKbPerS":[0,0]},
+ "invariants":{"answerSlackMs":8,"askWithinMs":10000,"coldFrom":0.19,"overloadForMs":1000,"rampTimeMs":15000,"stopSendingWithinMs":2000,"tipMultiple":2},
+ "layers":["cache-fleet"],"tenants":[],"tier":0,
+ "limits":{"cancelling":true,"connectTimeoutMs":400,"keepaliveMs":15000,"maxRetryAfterMs":500,"mostHeld":20000,"peerMessages":false,"probing":true,
+  "retryAfter":true,"secondCopies":false,"sendCap":6,"streamsPerConn":100},
+ "loadInfo":{"fields":["cpu_share","x1","x0"],"how":"inline"}}`
+
 // gateway is a process that the deploy file's line run starts.
 type gateway struct {
 	listen, signed, agent, console, config string
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -21,6 +21,13 @@
 	body   string
 	at     time.Time // when it had come whole
 	write  func(args ...string)
+	conn   net.Conn
+}
+
+// reset ends the connection on which the request came.
+func (a *ask) reset() {
+	_ = a.conn.(*net.TCPConn).SetLinger(0)
+	_ = a.conn.Close()
 }
 
 // done answers with bytes.
@@ -82,12 +89,13 @@
 		}
 		switch {
 		case args[0] == "ASK" && len(args) == 4:
-			a := &ask{store: s, id: args[1], fields: map[string]string{}, body: args[3], at: time.Now(), write: write}
+			a := &ask{store: s, id: args[1], fields: map[string]string{}, body: args[3], at: time.Now(), write: write, conn: c}
 			for f := range strings.SplitSeq(args[2], ",") {
 				k, v, _ := strings.Cut(f, "=")
 				a.fields[k] = v
 			}
-			note("store %s: ASK %s lane=%s name=%s piece=%s accept=%s", s.name, a.id, a.fields["lane"], a.fields["name"], a.fields["piece"], a.fields["accept"])
+			note("store %s: ASK %s lane=%s name=%s piece=%s accept=%s dedupe=%s", s.name, a.id, a.fields["lane"], a.fields["name"],
+				a.fields["piece"], a.fields["accept"], a.fields["dedupe"])
 			go s.answer(a)
 		case args[0] == "QUIT" && len(args) == 2:
 			note("store %s: QUIT %s", s.name, args[1])
