--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Plays case 9. 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0 leaves the disruption out.
+# Plays case 9. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x bin/larchusher ] && [ -x bin/review-stand ] || { echo "build first" >&2; exit 2; }
+[ -x bin/larchusher ] && [ -x bin/review-stand ] || { echo "build first: the deploy file's build, then review/build-2.sh" >&2; exit 2; }
 exec bin/review-stand 9
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p bin
-go build -tags review -o bin/review-stand ./review/stand
+go build -buildvcs=false -tags review -o bin/review-stand ./review/stand
--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -9,10 +9,14 @@
 	"time"
 )
 
-var cases = map[string]func(){"6": expiredHead, "7": pipelineAtRestart, "8": healthyTooSoon, "9": orderTwice}
+// cases are the cases by number; trials, which are no cases, have names.
+var cases = map[string]func(){"6": orderTwice, "7": pipelineAtRestart, "8": tamperedGroup, "9": expiredHead, "10": healthyTooSoon}
 
 const object = "7f3a9c21e0b4d655"
 
+// Classes of the settings. They stand for the video, asset and order classes of the first deployment, with their figures.
+const films, images, orders = "films", "images", "orders"
+
 // scene is a small location: two caches, a parent and the origin, which answer each request after a time.
 type scene struct {
 	caches        []*store
@@ -25,7 +29,7 @@
 func newScene(answer func(*ask)) *scene {
 	s := &scene{journal: startJournal()}
 	for i := range 2 {
-		s.caches = append(s.caches, startStore(fmt.Sprintf("node.c%d", i+1), "small-4to7", "edge-1", answer))
+		s.caches = append(s.caches, startStore(fmt.Sprintf("node.c%d", i+1), "box", "edge-1", answer))
 	}
 	s.parent, s.root = startStore("node.p", "parent", "north", answer), startStore("node.o", "origin", "north", answer)
 	for _, x := range append(s.caches, s.parent, s.root) {
@@ -49,29 +53,29 @@
 	}
 }
 
-// expiredHead is case 6. A player asks with HEAD before it fetches a part, on one connection. The token expires between parts 3
+// expiredHead is case 9. A player asks with HEAD before it fetches a part, on one connection. The token expires between parts 3
 // and 4; the player then has a fresh one.
 func expiredHead() {
 	s := newScene(after(20 * time.Millisecond))
 	g := newGateway(s.journal.addr, s.known)
 	g.start()
 	c := dialHTTP(g.signed)
-	token := sign("replay-video", object, time.Now().Add(time.Hour))
+	token := sign(films, object, time.Now().Add(time.Hour))
 	var broken []string
 	for part := range 8 {
 		if part == 4 && trouble {
-			token = sign("replay-video", object, time.Now().Add(-2*time.Second))
+			token = sign(films, object, time.Now().Add(-2*time.Second))
 		}
-		c.send("HEAD", target("replay-video", object, part, token))
+		c.send("HEAD", target(films, object, part, token))
 		status, _, err := c.answer("HEAD", 6*time.Second)
 		if err != nil {
 			broken = append(broken, fmt.Sprintf("HEAD of part %d: its answer cannot be read: %v", part, err))
 			break
 		}
 		if status == 403 {
-			token = sign("replay-video", object, time.Now().Add(time.Hour))
+			token = sign(films, object, time.Now().Add(time.Hour))
 		}
-		c.send("GET", target("replay-video", object, part, token))
+		c.send("GET", target(films, object, part, token))
 		status, got, err := c.answer("GET", 6*time.Second)
 		if err != nil {
 			broken = append(broken, fmt.Sprintf("GET of part %d with a good token: its answer cannot be read: %v", part, err))
@@ -85,26 +89,26 @@
 	verdict(broken)
 }
 
-// pipelineAtRestart is case 7. A client has written four requests on one connection; then the gateway is restarted as planned.
+// pipelineAtRestart is case 7. A client has written five requests on one connection; then the gateway is restarted as planned.
 func pipelineAtRestart() {
 	s := newScene(after(1500 * time.Millisecond)) // a large part: sizes vary widely, and 5 s are given
 	g := newGateway(s.journal.addr, s.known)
 	g.start()
 	c := dialHTTP(g.signed)
-	token := sign("replay-video", object, time.Now().Add(time.Hour))
-	c.send("GET", target("replay-video", object, 0, token))
+	token := sign(films, object, time.Now().Add(time.Hour))
+	c.send("GET", target(films, object, 0, token))
 	if status, _, err := c.answer("GET", 6*time.Second); err != nil || status != 200 {
 		fatal(fmt.Errorf("the first request was not served: %d, %v", status, err))
 	}
 	const parts = 5
 	for part := 1; part <= parts; part++ {
-		c.send("GET", target("replay-video", object, part, token))
+		c.send("GET", target(films, object, part, token))
 	}
 	written := time.Now()
 	time.Sleep(200 * time.Millisecond)
 	if trouble {
 		g.signal(syscall.SIGTERM)
-		time.AfterFunc(5700*time.Millisecond, func() { g.signal(syscall.SIGKILL) })
+		time.AfterFunc(5700*time.Millisecond, func() { _ = g.cmd.Process.Kill() })
 	}
 	var broken []string
 	for part := 1; part <= parts; part++ {
@@ -120,7 +124,7 @@
 	verdict(broken)
 }
 
-// healthyTooSoon is case 8. A gateway dies and comes back with its last list of boxes; meanwhile a deploy has replaced the boxes.
+// healthyTooSoon is case 10. A gateway dies and comes back with its last list of boxes; meanwhile a deploy has replaced the boxes.
 // With trouble the journal service takes connections and says nothing for 6 s from then on. A balancer asks for the gateway's
 // health, and sends it a request whenever it says that it is healthy.
 func healthyTooSoon() {
@@ -133,7 +137,7 @@
 	for i, old := range s.caches {
 		old.die()
 		s.journal.publish(2+2*i, hosts(2+2*i, false, entry(old, "DELETED", 0)))
-		next := startStore(fmt.Sprintf("node.n%d", i+1), "small-4to7", "edge-1", after(20*time.Millisecond))
+		next := startStore(fmt.Sprintf("node.n%d", i+1), "box", "edge-1", after(20*time.Millisecond))
 		s.journal.publish(3+2*i, hosts(3+2*i, false, entry(next, "SERVING", time.Now().Add(-30*time.Second).UnixMilli())))
 	}
 	time.Sleep(2500 * time.Millisecond)
@@ -147,7 +151,7 @@
 		reply string
 	}
 	var polls []seen
-	token := sign("game-assets", object, time.Now().Add(time.Hour))
+	token := sign(images, object, time.Now().Add(time.Hour))
 	for end := time.Now().Add(9 * time.Second); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
 		at := time.Now()
 		reply := oneLine(g.agent, "")
@@ -155,7 +159,7 @@
 		polls = append(polls, seen{at, reply})
 		if isUp(reply) {
 			c := dialHTTP(g.signed)
-			c.send("GET", target("game-assets", object, len(polls), token))
+			c.send("GET", target(images, object, len(polls), token))
 			_, _, _ = c.answer("GET", 3*time.Second)
 			_ = c.Close()
 		}
@@ -163,7 +167,7 @@
 	first := s.journal.firstWord()
 	var broken []string
 	for _, p := range polls {
-		if isUp(p.reply) && (first.IsZero() || p.at.Before(first.Add(-50*time.Millisecond))) {
+		if isUp(p.reply) && (first.IsZero() || p.at.Before(first.Add(-500*time.Millisecond))) {
 			broken = append(broken, fmt.Sprintf("%.1f s after the restart the agent check says %q, and the journal has told this process nothing yet", p.at.Sub(polls[0].at).Seconds(), p.reply))
 		}
 	}
--- a/review/stand/gateway.go
+++ b/review/stand/gateway.go
@@ -17,32 +17,32 @@
 	"time"
 )
 
-// settings are those of a small deployment such as ridge-assets, with the names and figures of the pages.
+// settings are those of a small deployment such as the first deployment, with the names and figures of the pages.
 const settings = `{"balancers":1,"position":0,"dcs":["north","edge-1"],"zone":"edge-1","stepMs":2,
- "classes":[{"name":"replay-video","aimMs":500,"aimStretch":2,"dedupScope":"all","effect":"repeatable","hardLimitMs":5000,"lateWorth":0.15,"repeatWindowMs":5000,"streaming":false,"value":2},
-  {"name":"game-assets","aimMs":400,"aimStretch":2,"dedupScope":"all","effect":"repeatable","hardLimitMs":2500,"lateWorth":0.2,"repeatWindowMs":5000,"streaming":false,"value":1},
-  {"name":"turn-submit","aimMs":600,"dedupScope":"all","effect":"by_key","hardLimitMs":3000,"lateWorth":0,"repeatWindowMs":3000,"streaming":false,"value":3}],
- "callers":{"marksRetry":true},"countedBy":"request","discovery":"push","family":"edge","flavors":["small-4to7","parent","origin"],"weightSource":"off",
+ "classes":[{"name":"films","aimMs":500,"aimStretch":2,"dedupScope":"all","effect":"repeatable","hardLimitMs":5000,"lateWorth":0.15,"repeatWindowMs":5000,"streaming":false,"value":2},
+  {"name":"images","aimMs":400,"aimStretch":2,"dedupScope":"all","effect":"repeatable","hardLimitMs":2500,"lateWorth":0.2,"repeatWindowMs":5000,"streaming":false,"value":1},
+  {"name":"orders","aimMs":600,"dedupScope":"all","effect":"by_key","hardLimitMs":3000,"lateWorth":0,"repeatWindowMs":3000,"streaming":false,"value":3}],
+ "callers":{"marksRetry":true},"countedBy":"request","discovery":"push","family":"edge","flavors":["box","parent","origin"],"weightSource":"off",
  "familyInfo":{"countByZone":[0,1],"homeHub":[0,0],"inPieces":[true,false,false],"inletCost":0.06,"joins":true,"lifetimeByClassMs":[0,0,0],"mayPassBy":false,
   "neighbours":"any","neverKept":[false,false,true],"noticeTimeMs":1000,"oldCopyWorth":[0.7,0.7,0.7],"parentColdFrom":0.083,"parentColdMs":22000,
   "purgeSettlesMs":6000,"rootKind":2,"says":"hit","shieldKind":1,"staleForMs":[0,0,0],"streamKbPerS":7200,"upperFallMultiple":2,"zoneLinkKbPerS":[0,65260]},
  "invariants":{"answerSlackMs":8,"askWithinMs":10000,"coldFrom":0.15,"overloadForMs":2000,"rampTimeMs":17000,"stopSendingWithinMs":2000,"tipMultiple":2.5},
- "layers":["edge-cache"],"tenants":[],"tier":0,
+ "layers":["edge"],"tenants":[],"tier":0,
  "limits":{"cancelling":true,"connectTimeoutMs":400,"keepaliveMs":30000,"maxRetryAfterMs":2000,"mostHeld":20000,"peerMessages":false,"probing":false,
   "retryAfter":true,"secondCopies":true,"sendCap":8,"streamsPerConn":32},
  "loadInfo":{"fields":["busy_reqs","x1","x0"],"how":"inline"}}`
 
-// besked are those of a small deployment such as kvist-besked.
-const besked = `{"balancers":1,"position":0,"dcs":["nord","edge-1"],"zone":"edge-1","stepMs":2,
- "classes":[{"name":"mms-media","aimMs":400,"aimStretch":1.6,"dedupScope":"all","effect":"repeatable","hardLimitMs":5000,"lateWorth":0.15,"repeatWindowMs":5000,"streaming":false,"value":2},
-  {"name":"templates","aimMs":400,"aimStretch":2,"dedupScope":"all","effect":"repeatable","hardLimitMs":3000,"lateWorth":0.2,"repeatWindowMs":3000,"streaming":false,"value":1},
-  {"name":"send-order","aimMs":600,"dedupScope":"all","effect":"by_key","hardLimitMs":3000,"lateWorth":0,"repeatWindowMs":2000,"streaming":false,"value":3}],
- "callers":{"marksRetry":false},"countedBy":"request","discovery":"push","family":"edge","flavors":["small-box","parent","origin"],"weightSource":"nominal",
+// secondDeployment are those of a small deployment such as the second deployment.
+const secondDeployment = `{"balancers":1,"position":0,"dcs":["nord","edge-1"],"zone":"edge-1","stepMs":2,
+ "classes":[{"name":"media","aimMs":400,"aimStretch":1.6,"dedupScope":"all","effect":"repeatable","hardLimitMs":5000,"lateWorth":0.15,"repeatWindowMs":5000,"streaming":false,"value":2},
+  {"name":"forms","aimMs":400,"aimStretch":2,"dedupScope":"all","effect":"repeatable","hardLimitMs":3000,"lateWorth":0.2,"repeatWindowMs":3000,"streaming":false,"value":1},
+  {"name":"batches","aimMs":600,"dedupScope":"all","effect":"by_key","hardLimitMs":3000,"lateWorth":0,"repeatWindowMs":2000,"streaming":false,"value":3}],
+ "callers":{"marksRetry":false},"countedBy":"request","discovery":"push","family":"edge","flavors":["box","parent","origin"],"weightSource":"nominal",
  "familyInfo":{"countByZone":[0,1],"homeHub":[0,0],"inPieces":[false,false,false],"inletCost":0.04,"joins":true,"lifetimeByClassMs":[0,8000,0],"mayPassBy":true,
   "neighbours":"location","neverKept":[false,false,true],"noticeTimeMs":500,"oldCopyWorth":[0.7,0.7,0.7],"parentColdFrom":0.079,"parentColdMs":22000,
   "purgeSettlesMs":6000,"rootKind":2,"says":"off","shieldKind":1,"staleForMs":[0,0,0],"streamKbPerS":7200,"upperFallMultiple":2,"zoneLinkKbPerS":[0,0]},
  "invariants":{"answerSlackMs":8,"askWithinMs":10000,"coldFrom":0.19,"overloadForMs":1000,"rampTimeMs":15000,"stopSendingWithinMs":2000,"tipMultiple":2},
- "layers":["cache-fleet"],"tenants":[],"tier":0,
+ "layers":["edge"],"tenants":[],"tier":0,
  "limits":{"cancelling":true,"connectTimeoutMs":400,"keepaliveMs":15000,"maxRetryAfterMs":500,"mostHeld":20000,"peerMessages":false,"probing":true,
   "retryAfter":true,"secondCopies":false,"sendCap":6,"streamsPerConn":100},
  "loadInfo":{"fields":["cpu_share","x1","x0"],"how":"inline"}}`
@@ -55,9 +55,10 @@
 	exited                                 chan struct{}
 }
 
-// freeAddr returns an address of loopback that is free now.
+// freeAddr returns an address that is free now, on a host of loopback that no other process uses: the ports of 127.0.0.1 may be
+// taken by outgoing connections until the gateway listens.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.77:0", 64+os.Getpid()%100, os.Getpid()/100%250))
 	fatal(err)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
@@ -86,7 +87,7 @@
 	operator := filepath.Join(scratch, "operator.textproto")
 	fatal(os.WriteFile(operator, fmt.Appendf(nil, `signed_front {
   listen: %q
-  base: "https://assets.ridge.example"
+  base: "https://assets.north.example"
   leeway: "0s"
   key { id: "edge" form: "edge-auth" secret_env: "REVIEW_EDGE_KEY" }
 }
--- a/review/stand/http.go
+++ b/review/stand/http.go
@@ -45,7 +45,7 @@
 
 // send writes a request.
 func (c *httpConn) send(method, target string) {
-	_, err := io.WriteString(c, method+" "+target+" HTTP/1.1\r\nHost: assets.ridge.example\r\n\r\n")
+	_, err := io.WriteString(c, method+" "+target+" HTTP/1.1\r\nHost: assets.north.example\r\n\r\n")
 	note("client: %s %s written, %v", method, strings.SplitN(target, "hdnts", 2)[0], err)
 }
 
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -9,8 +9,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -85,8 +87,12 @@
 		fmt.Fprintln(os.Stderr, "usage: stand CASE")
 		os.Exit(2)
 	}
+	name := filepath.Join("review", number, "record.txt")
+	if _, err := os.Stat(filepath.Dir(name)); err != nil { // a trial, which is no case
+		name = filepath.Join("bin", "review-"+number+".txt")
+	}
 	var err error
-	if record, err = os.Create(filepath.Join("review", number, "record.txt")); err != nil {
+	if record, err = os.Create(name); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
@@ -95,6 +101,9 @@
 		os.Exit(2)
 	}
 	time.AfterFunc(110*time.Second, func() { fatal(fmt.Errorf("over 110 s")) })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() { fatal(fmt.Errorf("ended by %v", <-signals)) }()
 	note("case %s, trouble: %v", number, trouble)
 	play()
 }
--- a/review/stand/order.go
+++ b/review/stand/order.go
@@ -34,14 +34,14 @@
 	return len(m.runs[key])
 }
 
-// orderTwice is case 9. A client of the project's client library submits a batch. The main store runs it; with trouble the
+// orderTwice is case 6. A client of the project's client library submits a batch. The main store runs it; with trouble the
 // connection is reset under the request, 2.1 s after it came, before the answer.
 func orderTwice() {
 	const window = 2 * time.Second
 	m := &mainStore{window: window, runs: map[string][]time.Time{}}
 	var once sync.Once
 	answer := func(a *ask) {
-		if a.fields["lane"] != "send-order" {
+		if a.fields["lane"] != "batches" {
 			after(20 * time.Millisecond)(a)
 			return
 		}
@@ -59,23 +59,23 @@
 	}
 	s := newScene(answer)
 	for _, x := range s.caches { // the kind of this deployment
-		x.kind = "small-box"
+		x.kind = "box"
 	}
 	s.parent.zone, s.root.zone = "nord", "nord"
 	known := fmt.Sprintf(`{"pos":1,"entries":[{"pos":1,%s}]}`, hosts(1, true, entry(s.caches[0], "SERVING", 0), entry(s.caches[1], "SERVING", 0),
 		entry(s.parent, "SERVING", 0), entry(s.root, "SERVING", 0)))
 	g := newGateway(s.journal.addr, known)
-	g.writeConfig(s.journal.addr, known, besked)
+	g.writeConfig(s.journal.addr, known, secondDeployment)
 	g.start()
 	c, err := client.New(client.Config{Gateways: []string{g.listen}, Classes: []client.Class{
-		{Name: "mms-media", Worth: 2, Deadline: 5 * time.Second}, {Name: "templates", Worth: 1, Deadline: 3 * time.Second},
-		{Name: "send-order", Effect: client.Keyed, Window: window, Worth: 3, Deadline: 3 * time.Second}}})
+		{Name: "media", Worth: 2, Deadline: 5 * time.Second}, {Name: "forms", Worth: 1, Deadline: 3 * time.Second},
+		{Name: "batches", Effect: client.Keyed, Window: window, Worth: 3, Deadline: 3 * time.Second}}})
 	fatal(err)
 	for i := range 5 {
 		key := fmt.Sprintf("batch-%d", i)
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		note("client: submits key %s", key)
-		got, err := c.Do(ctx, client.Request{Class: "send-order", Object: object, Key: key, Body: []byte("a batch")})
+		got, err := c.Do(ctx, client.Request{Class: "batches", Object: object, Key: key, Body: []byte("a batch")})
 		note("client: key %s ended: %q after %d tries, %v", key, got.Body, got.Tries, err)
 		cancel()
 	}
--- a/review/stand/tampered.go
+++ b/review/stand/tampered.go
@@ -11,8 +11,6 @@
 	"time"
 )
 
-func init() { cases["10"] = tamperedGroup }
-
 // keptCopies is the behaviour of stores that hold copies of all parts, and drop those older than a purge 6 s after it.
 type keptCopies struct {
 	mu      sync.Mutex
@@ -55,7 +53,7 @@
 	return strings.TrimSpace(string(out))
 }
 
-// tamperedGroup is case 10. Signed URLs of parts name the group of their object, which is purged. With trouble the URLs are
+// tamperedGroup is case 8. Signed URLs of parts name the group of their object, which is purged. With trouble the URLs are
 // altered after they were signed: they name another group.
 func tamperedGroup() {
 	k := &keptCopies{dated: map[string]time.Time{}, begun: time.Now(), settles: 6 * time.Second}
@@ -64,7 +62,7 @@
 	g.start()
 	var urls []string
 	for part := range 6 {
-		urls = append(urls, g.signedBy("edge", fmt.Sprintf("/replay-video/%s/%d?shard=17", object, part)))
+		urls = append(urls, g.signedBy("edge", fmt.Sprintf("/films/%s/%d?shard=17", object, part)))
 	}
 	k.mu.Lock()
 	k.purged = time.Now()
--- /dev/null
+++ b/review/stand/trials.go
@@ -0,0 +1,100 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"syscall"
+	"time"
+
+	"larchusher/client/rpc"
+)
+
+func init() {
+	cases["ids-again"], cases["signed-ids"] = idsAgain, signedIDs
+}
+
+// upgrade starts a new process beside the old one, and ends the old one as the platform does.
+func (g *gateway) upgrade() {
+	old, exited := g.cmd, g.exited
+	g.console = freeAddr()
+	g.start()
+	note("gateway %d: SIGTERM, since the new one is ready", old.Process.Pid)
+	_ = old.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-exited:
+	case <-time.After(3700 * time.Millisecond):
+		_ = old.Process.Kill()
+	}
+}
+
+// idsAgain is a trial: a request that may run once runs, its client leaves, and its id comes again, with trouble after an upgrade.
+func idsAgain() {
+	ran := make(chan string, 10)
+	s := newScene(func(a *ask) {
+		ran <- a.id
+		time.Sleep(10 * time.Second)
+	})
+	once := strings.Replace(settings, `"effect":"by_key"`, `"effect":"once"`, 1)
+	g := newGateway(s.journal.addr, s.known)
+	g.writeConfig(s.journal.addr, s.known, once)
+	g.start()
+	send := func() {
+		c, err := net.Dial("tcp", g.listen)
+		fatal(err)
+		fatal(rpc.NewEncoder(c).Request(&rpc.Request{ID: 1, Class: orders, Txn: "9b1f03aa5c7e2d41", Limit: 3 * time.Second, Object: object, Body: []byte("an order")}))
+		time.Sleep(300 * time.Millisecond)
+		_ = c.Close()
+		time.Sleep(200 * time.Millisecond)
+	}
+	send()
+	if trouble {
+		g.upgrade()
+	}
+	send()
+	var broken []string
+	if len(ran) != 1 {
+		broken = append(broken, fmt.Sprintf("a request of effect once ran %d times under one id", len(ran)))
+	}
+	verdict(broken)
+}
+
+// signedIDs is a trial: ids that the signed front draws, with trouble before and after an upgrade.
+func signedIDs() {
+	seen := map[string]int{}
+	ids := make(chan string, 100)
+	s := newScene(func(a *ask) {
+		ids <- a.id
+		after(5 * time.Millisecond)(a)
+	})
+	g := newGateway(s.journal.addr, s.known)
+	g.start()
+	token := sign(films, object, time.Now().Add(time.Hour))
+	ask := func(n int) {
+		for part := range n {
+			c := dialHTTP(g.signed)
+			c.send("GET", target(films, object, part, token))
+			_, _, _ = c.answer("GET", 5*time.Second)
+			_ = c.Close()
+		}
+	}
+	ask(5)
+	if trouble {
+		g.upgrade()
+	}
+	ask(5)
+	close(ids)
+	again := 0
+	for id := range ids {
+		if seen[id]++; seen[id] > 1 {
+			again++
+		}
+	}
+	var broken []string
+	if again > 0 {
+		broken = append(broken, fmt.Sprintf("%d of %d ids are those of earlier requests", again, len(seen)+again))
+	}
+	verdict(broken)
+}
