--- a/review/stand/gateway.go
+++ b/review/stand/gateway.go
@@ -110,6 +110,12 @@
 
 // start runs the line run of the deploy file, and waits until the gateway takes clients.
 func (g *gateway) start() {
+	g.launch()
+	g.awaitReady()
+}
+
+// launch runs the line run of the deploy file.
+func (g *gateway) launch() {
 	g.cmd = exec.Command("/bin/sh", "-c", runLine())
 	g.cmd.Env = append(g.env, "BALANCER_CONSOLE="+g.console)
 	logFile, err := os.OpenFile(filepath.Join(scratch, "gateway.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -125,9 +131,13 @@
 		close(exited)
 	}()
 	note("gateway %d: started by %q", cmd.Process.Pid, runLine())
+}
+
+// awaitReady waits until the gateway takes clients.
+func (g *gateway) awaitReady() {
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if g.ask("READY") == "ok" {
-			note("gateway %d: READY ok", cmd.Process.Pid)
+			note("gateway %d: READY ok", g.cmd.Process.Pid)
 			return
 		}
 	}
--- a/review/stand/trials.go
+++ b/review/stand/trials.go
@@ -13,7 +13,7 @@
 )
 
 func init() {
-	cases["ids-again"], cases["signed-ids"] = idsAgain, signedIDs
+	cases["ids-again"], cases["signed-ids"], cases["handover-cut"] = idsAgain, signedIDs, handoverCut
 }
 
 // upgrade starts a new process beside the old one, and ends the old one as the platform does.
@@ -98,3 +98,58 @@
 	}
 	verdict(broken)
 }
+
+// handoverCut is a trial: a group is purged, a new process is started beside the old one, and with trouble one of the two is killed
+// within the hand-over. What is served 2 s after the yes is no copy from before the purge, and each request has its answer.
+func handoverCut() {
+	var broken []string
+	for _, killOld := range []bool{true, false} {
+		for _, wait := range []int{0, 20, 50, 100, 150, 200, 250, 300} {
+			k := &keptCopies{dated: map[string]time.Time{}, begun: time.Now(), settles: 6 * time.Second}
+			s := newScene(k.answer)
+			g := newGateway(s.journal.addr, s.known)
+			g.start()
+			token := sign(films, object, time.Now().Add(time.Hour))
+			k.mu.Lock()
+			k.purged = time.Now()
+			k.mu.Unlock()
+			s.journal.publish(2, fmt.Sprintf(`"expire":{"set":17,"stamp":%d}`, k.purged.UnixMilli()))
+			time.Sleep(300 * time.Millisecond)
+			old, oldExited, console := g.cmd, g.exited, g.console
+			g.console = freeAddr()
+			g.launch()
+			time.Sleep(time.Duration(wait) * time.Millisecond)
+			switch {
+			case !trouble:
+				g.awaitReady()
+				_ = old.Process.Signal(syscall.SIGTERM)
+			case killOld:
+				_ = old.Process.Kill()
+				<-oldExited
+				g.awaitReady()
+			default:
+				_ = g.cmd.Process.Kill()
+				<-g.exited
+				g.cmd, g.exited, g.console = old, oldExited, console
+			}
+			time.Sleep(time.Until(k.purged.Add(3 * time.Second)))
+			for part := range 4 {
+				c := dialHTTP(g.signed)
+				c.send("GET", target(films, object, part, token))
+				status, got, err := c.answer("GET", 5*time.Second)
+				_ = c.Close()
+				var piece int
+				var dated int64
+				_, _ = fmt.Sscanf(got, "piece %d dated %d", &piece, &dated)
+				if err != nil || status == 200 && dated < k.purged.UnixMilli() {
+					broken = append(broken, fmt.Sprintf("old one killed: %v, %d ms after the start of the new one: %v, served from before the purge: %v", killOld, wait, err, status == 200))
+				}
+			}
+			_ = g.cmd.Process.Kill()
+			<-g.exited
+			_ = old.Process.Kill()
+			<-oldExited
+		}
+	}
+	verdict(broken)
+}
