--- a/review/stand/gateway.go
+++ b/review/stand/gateway.go
@@ -50,6 +50,7 @@
 // gateway is a process that the deploy file's line run starts.
 type gateway struct {
 	listen, signed, agent, console, config string
+	limits                                 map[string]any
 	env                                    []string
 	cmd                                    *exec.Cmd
 	exited                                 chan struct{}
@@ -82,6 +83,7 @@
 // newGateway writes the files of a gateway. known is its list of stores at the start.
 func newGateway(journalAddr, known string) *gateway {
 	g := &gateway{listen: freeAddr(), signed: freeAddr(), agent: freeAddr(), console: freeAddr()}
+	g.limits = map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}
 	g.config = filepath.Join(scratch, "config.json")
 	g.writeConfig(journalAddr, known, settings)
 	operator := filepath.Join(scratch, "operator.textproto")
@@ -102,7 +104,7 @@
 
 func (g *gateway) writeConfig(journalAddr, known, settings string) {
 	b, err := json.Marshal(map[string]any{"name": "n0", "listen": g.listen, "seed": fmt.Sprintf("%016x", time.Now().UnixNano()), "journal": journalAddr,
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": json.RawMessage(known), "settings": json.RawMessage(settings)})
+		"limits": g.limits, "known": json.RawMessage(known), "settings": json.RawMessage(settings)})
 	fatal(err)
 	fatal(os.WriteFile(g.config+".new", b, 0o600))
 	fatal(os.Rename(g.config+".new", g.config))
--- a/review/stand/trials.go
+++ b/review/stand/trials.go
@@ -3,9 +3,12 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"net"
+	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -13,7 +16,7 @@
 )
 
 func init() {
-	cases["ids-again"], cases["signed-ids"], cases["handover-cut"] = idsAgain, signedIDs, handoverCut
+	cases["ids-again"], cases["signed-ids"], cases["handover-cut"], cases["slow-readers"] = idsAgain, signedIDs, handoverCut, slowReaders
 }
 
 // upgrade starts a new process beside the old one, and ends the old one as the platform does.
@@ -153,3 +156,78 @@
 	}
 	verdict(broken)
 }
+
+// slowReaders is a trial: clients of the signed front read large parts at 1 MB a second, with half of the memory and descriptors. With
+// trouble there are sixty of them. Each request has a whole answer, and the process stays within its memory.
+func slowReaders() {
+	const memoryMB = 96
+	dated := time.Now().Add(-time.Minute)
+	s := newScene(func(a *ask) {
+		time.Sleep(50 * time.Millisecond)
+		a.done(strings.Repeat("x", 240_000), dated)
+	})
+	g := newGateway(s.journal.addr, s.known)
+	g.limits = map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": 512}
+	g.writeConfig(s.journal.addr, s.known, settings)
+	g.start()
+	clients := 2
+	if trouble {
+		clients = 60
+	}
+	token := sign(films, object, time.Now().Add(time.Hour))
+	stop := time.Now().Add(20 * time.Second)
+	var wg sync.WaitGroup
+	var lock sync.Mutex
+	var broken []string
+	served, refused := 0, 0
+	for i := range clients {
+		wg.Go(func() {
+			var c *httpConn
+			for part := 0; time.Now().Before(stop); part++ {
+				if c == nil {
+					c = dialHTTP(g.signed)
+					c.r = bufio.NewReaderSize(&slowReader{c.Conn}, 4096)
+				}
+				c.send("GET", target(films, object, i*1000+part, token))
+				status, got, err := c.answer("GET", 8*time.Second)
+				lock.Lock()
+				switch {
+				case err != nil:
+					broken = append(broken, fmt.Sprintf("client %d, part %d: %v", i, part, err))
+				case status == 200 && len(got) == 240_000:
+					served++
+				default:
+					refused++
+				}
+				lock.Unlock()
+				if err != nil {
+					_ = c.Close()
+					c = nil
+				}
+			}
+		})
+	}
+	wg.Wait()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.cmd.Process.Pid))
+	fatal(err)
+	for line := range strings.Lines(string(status)) {
+		kB := 0
+		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kB); err == nil {
+			note("peak memory %d kB, %d served, %d refused", kB, served, refused)
+			fmt.Println("peak memory", kB, "kB,", served, "served,", refused, "refused")
+			if kB > memoryMB<<10 {
+				broken = append(broken, fmt.Sprintf("peak memory %d kB, over %d MB", kB, memoryMB))
+			}
+		}
+	}
+	verdict(broken)
+}
+
+// slowReader reads at 1 MB a second.
+type slowReader struct{ net.Conn }
+
+func (r *slowReader) Read(b []byte) (int, error) {
+	n, err := r.Conn.Read(b[:min(len(b), 4096)])
+	time.Sleep(time.Duration(n) * time.Microsecond)
+	return n, err
+}
