gateway: refuse what was never written to a store, where it was failed at its deadline

What callers saw: a request that may run once, or at the deadline timer a keyed one, was answered as failed ("may have run") although its attempt still waited for a connection. Cause: the director counts an attempt in flight as one that may have run, since it knows results alone. The gateway knows which attempts were written (PrepareWrite), and did not ask. Change: where a director makes no further attempt, and at the deadline, the gateway tells the client that a retry is harmless if the request is idempotent or none of its attempts was written that may have run.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -106,7 +106,7 @@
 	case routing.Fail:
 		// The request may have been rerouted to another locality, whose director answers it now.
 		if r := g.requests[a.ID]; r != nil && r.locality == locality {
-			g.answerByID(a.ID, Answer{Outcome: OutcomeFailed, cause: causeNoFurtherAttempt})
+			g.answerByID(a.ID, g.unservedAnswer(r, g.LongRetryAfter(r.ID)))
 		}
 	case routing.CancelAttempt:
 		if at := g.findAttempt(a.ID, a.Attempt, locality); at != nil {
--- a/gateway/repeats.go
+++ b/gateway/repeats.go
@@ -73,14 +73,30 @@
 // firstMayHaveRun returns when the first attempt was written that may have run; the zero time if there is none.
 func (r *Request) firstMayHaveRun() (first time.Time) {
 	for _, a := range r.attempts {
-		mayHaveRun := !a.ended || a.status.MayHaveRun()
-		if !a.writtenAt.IsZero() && mayHaveRun && (first.IsZero() || a.writtenAt.Before(first)) {
-			first = a.writtenAt
+		if at := a.sentAt(); a.mayHaveRun() && (first.IsZero() || at.Before(first)) {
+			first = at
 		}
 	}
 	return first
 }
 
+// sentAt returns when an attempt was written, or when it was started if the backend has not asked to write it.
+func (a *Attempt) sentAt() time.Time {
+	if a.writtenAt.IsZero() {
+		return a.startedAt
+	}
+	return a.writtenAt
+}
+
+// mayHaveRun reports whether an attempt may have run. One that waited for its connection until it was canceled has not.
+func (a *Attempt) mayHaveRun() bool {
+	unanswered := !a.ended || a.status == routing.Canceled || a.status == routing.TimedOut
+	if unanswered {
+		return !a.writtenAt.IsZero()
+	}
+	return a.status.MayHaveRun()
+}
+
 // mayRepeat reports whether a request may run although one with its id may have run before. One with an idempotency key may, as
 // long as endpoints drop the repeat; its deadline is lowered to that time.
 func (g *Gateway) mayRepeat(r *Request) bool {
