routing: a keyed request that may have run fails; it was refused, also behind its window

Cause: clientMayRepeat said yes to every keyed request of scope all, whatever the time. A refusal has no end: the client may come back at once, after the Retry-After or later, at another gateway. The window has one, counted from the first attempt that may have run, and only the client knows of its attempts elsewhere. So a gateway can't tell a client that such a repeat is harmless. Change: the director rejects what is idempotent or has not run and fails the rest, and the gateway checks that again by what was written. Clients that follow WIRE lose nothing: they retry a keyed request after any failure while its window lasts. What has not run is refused as before. Changed: one row of TestRetryRespectsEffect wanted a refusal 1.1 s after a window of 1 s began, which is the fault; TestEffectsAndDedupScopes and the invariants let scope all be refused, and don't any more.

--- a/gateway/answers.go
+++ b/gateway/answers.go
@@ -50,19 +50,6 @@
 	g.accountAnswer(r, a)
 }
 
-// answerByID answers a request that its director has rejected or failed. If the deadline is due,
-// within Settings.ClockStep and a millisecond, the outcome is OutcomeExpired.
-func (g *Gateway) answerByID(id string, a Answer) {
-	r := g.requests[id]
-	if r == nil {
-		return
-	}
-	if !g.cfg.Loop.Now().Before(r.Deadline.Add(-g.cfg.Settings.ClockStep - time.Millisecond)) {
-		a.Outcome, a.cause = OutcomeExpired, causeDeadline
-	}
-	g.answerRequest(r, a)
-}
-
 // closeRequest removes a request from the open ones, and stops its timers.
 func (g *Gateway) closeRequest(r *Request) {
 	r.answered = true
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -101,12 +101,12 @@
 		g.startAttempt(a, locality)
 	case routing.Reject:
 		if g.rerouteRejected(a.ID, locality) == rejectionFinal {
-			g.answerByID(a.ID, Answer{Outcome: OutcomeRejected, RetryAfter: a.RetryAfter, Retryable: true})
+			g.answerUnserved(g.requests[a.ID], a.RetryAfter)
 		}
 	case routing.Fail:
 		// The request may have been rerouted to another locality, whose director answers it now.
 		if r := g.requests[a.ID]; r != nil && r.locality == locality {
-			g.answerByID(a.ID, g.unservedAnswer(r, g.LongRetryAfter(r.ID)))
+			g.answerUnserved(r, g.LongRetryAfter(r.ID))
 		}
 	case routing.CancelAttempt:
 		if at := g.findAttempt(a.ID, a.Attempt, locality); at != nil {
--- a/routing/actions.go
+++ b/routing/actions.go
@@ -31,7 +31,7 @@
 	RefreshAhead bool          // serve a copy that is about to expire, and refresh it
 }
 
-// Reject is a final answer that guarantees that repeating the request does no harm.
+// Reject is a final answer that guarantees that repeating the request does no harm, at whichever gateway and however late.
 type Reject struct {
 	ID         string
 	RetryAfter time.Duration // 0: no Retry-After is sent
--- a/routing/deadline.go
+++ b/routing/deadline.go
@@ -86,15 +86,10 @@
 }
 
 // clientMayRepeat reports whether a repeat by the client does no harm, at whichever gateway it
-// arrives.
+// arrives and however late. A request with an idempotency key that may have run is repeated safely
+// only within the class's DedupWindow, and a client may come back after that.
 func (r *request) clientMayRepeat() bool {
-	switch {
-	case r.class.Effect == Idempotent:
-		return true
-	case r.class.Effect == IdempotentWithKey && r.class.DedupScope == ScopeAll:
-		return true
-	}
-	return r.firstThatMayHaveRun(nil) == nil
+	return r.class.Effect == Idempotent || r.firstThatMayHaveRun(nil) == nil
 }
 
 // retryAfter returns the Retry-After of a rejection: a random time between half of
--- a/routing/invariants_test.go
+++ b/routing/invariants_test.go
@@ -204,8 +204,7 @@
 		return fmt.Errorf("%v: second final answer for %s", o.now, a.ID)
 	}
 	for _, b := range tracked.attempts {
-		if (b.mayHaveRun || !b.ended) && (tracked.class.Effect == NonIdempotent ||
-			tracked.class.Effect == IdempotentWithKey && tracked.class.DedupScope != ScopeAll) {
+		if (b.mayHaveRun || !b.ended) && tracked.class.Effect != Idempotent {
 			return fmt.Errorf("%v: rejected %s of class %s, which may have been executed", o.now, a.ID, tracked.class.Name)
 		}
 	}
--- a/routing/retry_test.go
+++ b/routing/retry_test.go
@@ -16,7 +16,7 @@
 		{"pay", Reset, 10 * ms, false, true},
 		{"pay", ConnectFailed, 10 * ms, true, false},
 		{"send", Reset, 10 * ms, true, false},
-		{"send", Reset, 1100 * ms, false, false},
+		{"send", Reset, 1100 * ms, false, true},
 		{"zoned", Reset, 1100 * ms, false, true},
 	} {
 		r := newHarness(t, nil)
@@ -149,7 +149,7 @@
 			t.Error(description)
 		}
 	}
-	if rejected != nil && (effect == NonIdempotent || effect == IdempotentWithKey && scope != ScopeAll) {
+	if rejected != nil && effect != Idempotent {
 		t.Error(description)
 	}
 	if retry == nil && rejected == nil && failed == nil || effect == NonIdempotent && failed == nil {
@@ -157,6 +157,63 @@
 	}
 }
 
+// Guards against a rejection, which tells the client that a repeat is harmless at any time, of a request that may have been executed:
+// for each reason why there is no further attempt, and within and after DedupWindow. Without an attempt that may have been executed,
+// the request must be rejected.
+func TestOnlyWhatHasNotRunIsRejected(t *testing.T) {
+	type endReason struct {
+		name string
+		end  func(r *harness, id string, a *ForwardAttempt) []Action
+	}
+	result := func(s Status) func(r *harness, id string, a *ForwardAttempt) []Action {
+		return func(r *harness, id string, a *ForwardAttempt) []Action {
+			return r.handle(AttemptResult{ID: id, Endpoint: a.Endpoint, Status: s})
+		}
+	}
+	reasons := []endReason{
+		{"no retry left in the budget", func(r *harness, id string, a *ForwardAttempt) []Action {
+			r.d.retryBudget = 0
+			return result(Reset)(r, id, a)
+		}},
+		{"no attempt left", func(r *harness, id string, a *ForwardAttempt) []Action {
+			r.d.requests[id].maxAttempts = 1
+			return result(Reset)(r, id, a)
+		}},
+		{"no endpoint left", func(r *harness, id string, a *ForwardAttempt) []Action {
+			r.handle(EndpointUpdate{Kind: FullList})
+			return result(Reset)(r, id, a)
+		}},
+		{"too little time left", func(r *harness, id string, a *ForwardAttempt) []Action {
+			r.now = r.d.requests[id].Deadline - ms
+			return result(Reset)(r, id, a)
+		}},
+		{"no answer by the deadline", func(r *harness, id string, _ *ForwardAttempt) []Action {
+			r.now = r.d.requests[id].Deadline
+			return r.handle(TimerFired{Token: r.d.requests[id].token})
+		}},
+	}
+	for _, class := range []string{"pay", "send", "zoned", "celled"} {
+		for _, c := range reasons {
+			for _, after := range []time.Duration{10 * ms, 900 * ms, 1100 * ms} {
+				r := newHarness(t, nil)
+				id, a := r.send(class, "x")
+				out := c.end(r.advance(after), id, a)
+				if firstAction[Reject](out) != nil || firstAction[Fail](out) == nil {
+					t.Errorf("class %s, %s, after %v: got actions %v, want Fail", class, c.name, after, out)
+				}
+			}
+		}
+		for _, status := range []Status{Rejected, ConnectFailed, NotSent, Miss} {
+			r := newHarness(t, nil)
+			id, a := r.send(class, "x")
+			r.d.retryBudget = 0
+			if out := result(status)(r.advance(1100*ms), id, a); firstAction[Reject](out) == nil {
+				t.Errorf("class %s, not executed by status %v: got actions %v, want Reject", class, status, out)
+			}
+		}
+	}
+}
+
 // A request of an unknown class or tenant is rejected without a Retry-After, because returning
 // later cannot help.
 func TestUnknownClassOrTenantGetsNoRetryAfter(t *testing.T) {
