gateway: a repeated id whose former request may have run is failed, not refused

A request whose id came before, with a keyed or unsafe request that may have run, was refused ("trying again is harmless") where it got no attempt of its own: when too many were open, it waited too long, no endpoint or time was left, or the gateway ended. Its client then draws a new id, and the store may run it again behind the window. Cause: whether something has run was asked of the request, not of its id, and at each place that refuses by itself. Change: answerRequest, through which every answer of the gateway goes, turns an answer that calls a retry harmless into a failure where the request or a former one with its id may have run. Evidence: TestRepeatedIDOfExecutedRequestIsNotRejected (each of its 6 reasons failed before) and TestCopyOfOpenRequestIsNotRejected (failed before). Not covered: what a front sheds before it submits the request, since the loop alone knows executed ids.

--- a/gateway/answers.go
+++ b/gateway/answers.go
@@ -33,11 +33,15 @@
 
 // answerRequest gives a request its final answer. It does nothing for a request that was answered
 // or abandoned: the answer of a hedged attempt, or one that arrives just after the deadline, is
-// dropped.
+// dropped. An answer that calls a retry harmless becomes a failure where it is not, for whatever
+// reason it was given.
 func (g *Gateway) answerRequest(r *Request, a Answer) {
 	if r.answered {
 		return
 	}
+	if a.Retryable && !g.retryIsHarmless(r) {
+		a = a.asFailure()
+	}
 	g.closeRequest(r)
 	g.Counters.Answered[a.Outcome]++
 	if !a.countedAsShed {
--- a/gateway/requests.go
+++ b/gateway/requests.go
@@ -227,7 +227,7 @@
 	if r.answered {
 		return
 	}
-	g.answerRequest(r, Answer{Outcome: OutcomeExpired, Retryable: g.retryIsHarmless(r), RetryAfter: g.LongRetryAfter(r.ID), cause: causeDeadline})
+	g.answerRequest(r, Answer{Outcome: OutcomeExpired, Retryable: true, RetryAfter: g.LongRetryAfter(r.ID), cause: causeDeadline})
 	g.handleEvent(event{locality: r.locality, Event: routing.ClientGone{ID: r.directorID}})
 	g.cancelAttempts(r)
 }
