client: a call does not end as refused if an earlier attempt of it may have run

A keyed call whose first attempt failed or lost its connection, and whose retry was refused, ended with ErrRefused: "the gateway did not run the request", come back after Later. The caller does, with the same key, and the store may run it again behind the window. Cause: the ending was that of the last attempt, not of the call. Change: such a call ends as failed or unknown. If the Retry-After of all gateways ends behind the window, it ends at once, and a call that waits for something else ends with the window at the latest. The check of all random events counts from when an attempt was sent now, as the planner does, and takes in keyed calls: stricter.

--- a/client/config.go
+++ b/client/config.go
@@ -16,7 +16,7 @@
 // Effects of a class; see [plan.Effect].
 const (
 	Safe   = plan.Idempotent        // may be executed any number of times
-	Keyed  = plan.IdempotentWithKey // gateways drop repeats with the same idempotency key for Class.Window
+	Keyed  = plan.IdempotentWithKey // endpoints drop repeats with the same idempotency key for Class.Window
 	Unsafe = plan.NonIdempotent     // must not be executed twice
 )
 
--- a/client/errors.go
+++ b/client/errors.go
@@ -8,13 +8,14 @@
 
 // Errors of a call, to be tested with errors.Is. The comment of each states whether the request may have run on a gateway.
 var (
-	// ErrRefused is the error of a call that gateways rejected; the error is a [RefusedError] as well. The rejected attempt
-	// did not run. For a class that may be repeated, an earlier attempt may have run.
+	// ErrRefused is the error of a call that gateways rejected; the error is a [RefusedError] as well. The request did not
+	// run, except that one of a Safe class may have run. The call may be repeated at any time.
 	ErrRefused = errors.New("client: refused: the gateway did not run the request")
-	// ErrFailed is the error of a call that a gateway answered with a failure. The request may have run. The error wraps the
-	// cause, if the transport knows it.
+	// ErrFailed is the error of a call of which a gateway answered an attempt with a failure. The request may have run, also if
+	// a later attempt was rejected. The error wraps the cause, if the transport knows it.
 	ErrFailed = errors.New("client: failed: the gateway answered with a failure, and the request may have run")
-	// ErrUnknown is the error of a call whose connection was lost before the answer. The request may have run.
+	// ErrUnknown is the error of a call that lost a connection before the answer. The request may have run, also if a later
+	// attempt was rejected.
 	ErrUnknown = errors.New("client: its end is unknown: the connection was lost, and the request may have run")
 	// ErrExpired is the error of a call without an answer by its deadline. The request may have run. The error wraps
 	// context.DeadlineExceeded.
--- a/client/plan/call.go
+++ b/client/plan/call.go
@@ -80,8 +80,12 @@
 // neither ends nor retries the call.
 func (p *Planner) superseded(c *call) bool { return len(c.inFlight) > 0 || p.isWaiting(c) }
 
-// finish ends a call. attemptID is the attempt whose answer or lost connection ended it; 0: none.
+// finish ends a call. attemptID is the attempt whose answer or lost connection ended it; 0: none. A call does not end as Refused if
+// an earlier attempt of it may have run, unless it is idempotent.
 func (p *Planner) finish(c *call, ending Ending, attemptID uint64) {
+	if ending == Refused && !c.repeatableAnyTime() {
+		ending = c.uncertainEnding()
+	}
 	p.Counters.Ended[ending]++
 	p.release(c)
 	p.emit(End{Call: c.ID, Ending: ending, Attempt: attemptID, RetryAfter: max(0, c.rejectedUntil-p.now), Attempts: c.attemptCount})
@@ -113,6 +117,19 @@
 	c.inFlight = slices.DeleteFunc(c.inFlight, func(o *attempt) bool { return o == t })
 }
 
+// repeatableAnyTime reports whether the call may be made again however late: it is idempotent, or no attempt may have run.
+func (c *call) repeatableAnyTime() bool {
+	return c.class == nil || c.class.Effect == Idempotent || c.mayHaveRunSince < 0
+}
+
+// uncertainEnding returns the ending of a call that may have run and gets no further attempt.
+func (c *call) uncertainEnding() Ending {
+	if c.failed {
+		return Failed
+	}
+	return Unknown
+}
+
 // recordMayHaveRun records that an attempt may have run: from then on mayRepeat limits further attempts.
 func (c *call) recordMayHaveRun(t *attempt) {
 	if c.mayHaveRunSince < 0 || t.sentAt < c.mayHaveRunSince {
--- a/client/plan/dispatch.go
+++ b/client/plan/dispatch.go
@@ -71,14 +71,17 @@
 	return g.isConnecting() || p.connWithCapacity(g) != nil
 }
 
-// waitForRetryAfter leaves a call waiting until the earliest Retry-After for its class ends, or ends the call as Refused if
-// that leaves no time for an answer. If until is never, all gateways are ejected: the call waits for one to recover.
+// waitForRetryAfter leaves a call waiting until the earliest Retry-After for its class ends. It ends the call if that leaves no time
+// for an answer, or is too late to repeat the call. If until is never, all gateways are ejected: the call waits for one to recover.
 func (p *Planner) waitForRetryAfter(c *call, until time.Duration) {
 	if until == never {
 		return
 	}
 	c.rejectedUntil = max(c.rejectedUntil, until)
-	if until >= c.Deadline-p.cfg.Way {
+	switch {
+	case until+p.cfg.Way >= c.repeatableUntil():
+		p.stopRetrying(c)
+	case until+p.cfg.Way >= c.Deadline:
 		p.finish(c, Refused, 0)
 	}
 }
--- a/client/plan/plan.go
+++ b/client/plan/plan.go
@@ -25,7 +25,7 @@
 // Effects of a class.
 const (
 	Idempotent        Effect = iota // may be executed any number of times
-	IdempotentWithKey               // gateways drop a repeat with the same idempotency key for Class.Window
+	IdempotentWithKey               // endpoints drop a repeat with the same idempotency key for Class.Window
 	NonIdempotent                   // must not be executed twice
 )
 
@@ -33,7 +33,7 @@
 type Class struct {
 	Name     string
 	Effect   Effect
-	Window   time.Duration // for IdempotentWithKey: how long after an attempt was sent gateways drop its repeats
+	Window   time.Duration // for IdempotentWithKey: how long after the first attempt was sent endpoints drop its repeats
 	Worth    float64       // priority weight: of the waiting calls, those with the highest weight are sent first
 	Deadline time.Duration // longest time that a call may take; 0: limited by the deadline of the call only
 }
@@ -45,12 +45,12 @@
 const (
 	// Served: a gateway answered the call.
 	Served Ending = iota
-	// Refused: the call was rejected, or every usable gateway rejects its class until too late. Nothing ran, with one
-	// exception: an earlier attempt of a call that may be repeated may have run.
+	// Refused: the call was rejected, or every usable gateway rejects its class until too late. It may be made again at any
+	// time: nothing ran, except that an attempt of an Idempotent call may have run.
 	Refused
-	// Failed: a gateway answered with a failure. The call may have run.
+	// Failed: a gateway answered an attempt with a failure. The call may have run.
 	Failed
-	// Unknown: a connection was lost before the answer. The call may have run.
+	// Unknown: a connection was lost before the answer to an attempt. The call may have run.
 	Unknown
 	// Expired: the deadline passed before an answer. The call may have run.
 	Expired
--- a/client/plan/planner_test.go
+++ b/client/plan/planner_test.go
@@ -37,6 +37,7 @@
 	gateway  string
 	up       bool
 	attempts map[uint64]Send
+	sentAt   map[uint64]time.Duration // of attempts
 }
 
 type observedCall struct {
@@ -44,7 +45,7 @@
 	ended           bool
 	ending          Ending
 	attempts        int
-	mayHaveRunSince time.Duration // when the first attempt that may have run failed or lost its connection
+	mayHaveRunSince time.Duration // when the first attempt was sent that failed or lost its connection
 	mayHaveRun      bool
 	endedAt         time.Duration
 }
@@ -75,7 +76,7 @@
 	for _, a := range net.actions {
 		switch a := a.(type) {
 		case Connect:
-			net.conns[a.Conn] = &fakeConn{gateway: a.Gateway, attempts: map[uint64]Send{}}
+			net.conns[a.Conn] = &fakeConn{gateway: a.Gateway, attempts: map[uint64]Send{}, sentAt: map[uint64]time.Duration{}}
 			net.connects = append(net.connects, net.now)
 		case Disconnect:
 			if net.conns[a.Conn] == nil {
@@ -97,7 +98,7 @@
 			if net.now > c.Deadline {
 				net.t.Fatalf("call %d ended %v after its deadline", a.Call, net.now-c.Deadline)
 			}
-			if a.Ending == Unsent && c.attempts > 0 || a.Ending == Refused && c.mayHaveRun && c.Class == "unsafe" {
+			if a.Ending == Unsent && c.attempts > 0 || a.Ending == Refused && c.mayHaveRun && c.Class != "safe" {
 				net.t.Fatalf("call %d ended as %v after %d attempts, may have run: %v", a.Call, a.Ending, c.attempts, c.mayHaveRun)
 			}
 		}
@@ -107,6 +108,7 @@
 func (net *fakeNetwork) checkSend(a Send) {
 	c, class := net.calls[a.Call], net.classOf(a.Call)
 	cn := net.conns[a.Conn]
+	mayHaveRunSince, mayHaveRun := net.firstMayHaveRun(a.Call)
 	switch {
 	case c.ended:
 		net.t.Fatalf("attempt sent for a call that has ended")
@@ -120,17 +122,17 @@
 		net.t.Fatalf("attempt %d of a call has Retry %v, want true for all but the first", c.attempts+1, a.Retry)
 	case a.Limit <= 0 || net.now+a.Limit > c.Deadline:
 		net.t.Fatalf("Limit is %v with %v left until the deadline", a.Limit, c.Deadline-net.now)
-	case c.mayHaveRun && class.Effect == NonIdempotent:
+	case mayHaveRun && class.Effect == NonIdempotent:
 		net.t.Fatalf("non-idempotent call sent again after an attempt that may have run")
-	case c.mayHaveRun && class.Effect == IdempotentWithKey && net.now >= c.mayHaveRunSince+class.Window:
-		net.t.Fatalf("call with an idempotency key sent again after %v, outside the window", net.now-c.mayHaveRunSince)
+	case mayHaveRun && class.Effect == IdempotentWithKey && net.now >= mayHaveRunSince+class.Window:
+		net.t.Fatalf("call with an idempotency key sent again after %v, outside the window", net.now-mayHaveRunSince)
 	case net.now < net.rejectedUntil[cn.gateway+" "+c.Class]:
 		net.t.Fatalf("attempt sent %v before the gateway's Retry-After ended", net.rejectedUntil[cn.gateway+" "+c.Class]-net.now)
 	case a.SendKey != (class.Effect == IdempotentWithKey):
 		net.t.Fatalf("SendKey is %v for a call with effect %v, want true with IdempotentWithKey only", a.SendKey, class.Effect)
 	}
 	net.lastAttempt[a.Conn] = a.Attempt
-	cn.attempts[a.Attempt] = a
+	cn.attempts[a.Attempt], cn.sentAt[a.Attempt] = a, net.now
 	c.attempts++
 	net.sends = append(net.sends, a)
 }
@@ -141,7 +143,7 @@
 		if s, is := cn.attempts[attemptID]; is {
 			delete(cn.attempts, attemptID)
 			if !ok && !rejected {
-				net.recordMayHaveRun(s)
+				net.recordMayHaveRun(s, cn.sentAt[attemptID])
 			}
 			if rejected {
 				net.rejectedUntil[cn.gateway+" "+net.calls[s.Call].Class] = net.now + retryAfter
@@ -151,21 +153,34 @@
 	net.handle(Answered{Conn: conn, Attempt: attemptID, OK: ok, Rejected: rejected, RetryAfter: retryAfter})
 }
 
-func (net *fakeNetwork) recordMayHaveRun(s Send) {
+func (net *fakeNetwork) recordMayHaveRun(s Send, sentAt time.Duration) {
 	c := net.calls[s.Call]
-	if !c.mayHaveRun {
-		c.mayHaveRun, c.mayHaveRunSince = true, net.now // later than the time of sending, which the planner uses: a weaker check
+	if !c.mayHaveRun || sentAt < c.mayHaveRunSince {
+		c.mayHaveRun, c.mayHaveRunSince = true, sentAt
 	}
 }
 
+// firstMayHaveRun returns when the first attempt of a call was sent that may have run or is in flight, or false if there is none.
+func (net *fakeNetwork) firstMayHaveRun(callID uint64) (since time.Duration, ok bool) {
+	since, ok = net.calls[callID].mayHaveRunSince, net.calls[callID].mayHaveRun
+	for _, cn := range net.conns {
+		for id, s := range cn.attempts {
+			if s.Call == callID && (!ok || cn.sentAt[id] < since) {
+				since, ok = cn.sentAt[id], true
+			}
+		}
+	}
+	return since, ok
+}
+
 // closeConn ends a connection from the gateway's side. The attempts in flight may have run, unless the close was clean and
 // only one attempt was in flight.
 func (net *fakeNetwork) closeConn(id uint64, clean bool) {
 	cn := net.conns[id]
 	delete(net.conns, id)
 	if !clean || len(cn.attempts) > 1 {
-		for _, s := range cn.attempts {
-			net.recordMayHaveRun(s)
+		for id, s := range cn.attempts {
+			net.recordMayHaveRun(s, cn.sentAt[id])
 		}
 	}
 	for k := range net.rejectedUntil { // the Retry-After of a gateway process ends with the process
--- a/client/plan/retry.go
+++ b/client/plan/retry.go
@@ -1,5 +1,7 @@
 package plan
 
+import "time"
+
 // initialRetryBudget is the retry budget of a new client, in retries. It is small because many clients may start at once,
 // and their budgets add up.
 const initialRetryBudget = 2
@@ -54,26 +56,30 @@
 	return false
 }
 
-// mayRepeat reports whether another attempt of a call may be sent now. If no attempt may have run, it always may. Otherwise
-// a call must be idempotent, or have an idempotency key and be repeated so early that the repeat arrives within the class's
-// window.
-func (p *Planner) mayRepeat(c *call) bool {
-	if c.class.Effect == Idempotent || c.mayHaveRunSince < 0 {
-		return true
+// mayRepeat reports whether another attempt of a call may be sent now: the repeat must arrive before repeatableUntil.
+func (p *Planner) mayRepeat(c *call) bool { return p.now+p.cfg.Way < c.repeatableUntil() }
+
+// repeatableUntil returns until when gateways may get another attempt of a call. If no attempt may have run, or the call is
+// idempotent, there is no limit (never). Otherwise the call must have an idempotency key, and the repeat must arrive within the
+// class's window, which begins when the first attempt that may have run was sent, to whichever gateway.
+func (c *call) repeatableUntil() time.Duration {
+	switch {
+	case c.repeatableAnyTime():
+		return never
+	case c.class.Effect == IdempotentWithKey:
+		return c.mayHaveRunSince + c.class.Window
+	default:
+		return c.mayHaveRunSince
 	}
-	return c.class.Effect == IdempotentWithKey && p.now+p.cfg.Way < c.mayHaveRunSince+c.class.Window
 }
 
 // stopRetrying ends a waiting call that may no longer be repeated. If an attempt is still in flight, the call is only taken
 // from the waiting calls, since that attempt may be answered.
 func (p *Planner) stopRetrying(c *call) {
 	p.Counters.NotRepeatable++
-	switch {
-	case len(c.inFlight) > 0:
+	if len(c.inFlight) > 0 {
 		p.dequeue(c)
-	case c.failed:
-		p.finish(c, Failed, 0)
-	default:
-		p.finish(c, Unknown, 0)
+		return
 	}
+	p.finish(c, c.uncertainEnding(), 0)
 }
--- a/client/plan/timer.go
+++ b/client/plan/timer.go
@@ -93,14 +93,14 @@
 	return max(at, p.now), at != never
 }
 
-// nextCallTimer returns when the next call expires or a waiting call may be sent.
+// nextCallTimer returns when the next call expires, or a waiting call may be sent or may not be sent any more.
 func (p *Planner) nextCallTimer() time.Duration {
 	at := never
 	if len(p.byDeadline) > 0 {
 		at = p.byDeadline[0].Deadline
 	}
 	for _, c := range p.waiting {
-		at = min(at, c.Deadline-p.cfg.Way)
+		at = min(at, min(c.Deadline, c.repeatableUntil())-p.cfg.Way)
 		if c.redirecting {
 			at = min(at, p.now+redirectPollInterval)
 		}
