client: the limit of a keyed repeat ends with its window

A gateway dies with a keyed request, the client sends it to another one within the window, and that one, whose own window begins anew, passes it on behind the first one's end, here since the store was full meanwhile: it runs twice, and the call is served. Cause: the window is counted from the first attempt at whichever gateway, but only the client knows that moment, and it gave the second gateway all the time that its call had left. The call ends with the window as well, unless an earlier attempt is still in flight.

--- a/client/plan/call.go
+++ b/client/plan/call.go
@@ -21,6 +21,7 @@
 	crossedClose     bool          // an attempt crossed an orderly close of its connection; allowed once per call
 	rejectedUntil    time.Duration // when the latest Retry-After ends; 0: none
 	failed           bool          // a gateway answered with a failure
+	endsWithWindow   bool          // the deadline was lowered to the end of the class's window; see limitToWindow
 }
 
 // attempt is an attempt of a call that is in flight.
--- a/client/plan/deadline.go
+++ b/client/plan/deadline.go
@@ -1,9 +1,13 @@
 package plan
 
+import "container/heap"
+
 // expire ends a call that has no time left: as Refused if it was only rejected, as Unsent if no attempt was sent, otherwise
-// as Expired.
+// as Expired. A call whose window has ended, but not its deadline, ends as Failed or Unknown.
 func (p *Planner) expire(c *call) {
 	switch {
+	case c.endsWithWindow:
+		p.finish(c, c.uncertainEnding(), 0)
 	case c.onlyRejected():
 		p.finish(c, Refused, 0)
 	case c.attemptCount == 0:
@@ -18,6 +22,18 @@
 	return len(c.inFlight) == 0 && c.rejectedUntil > 0 && c.mayHaveRunSince < 0
 }
 
+// limitToWindow lowers the deadline of a call that is about to be repeated to the end of its class's window. The gateway gets no more
+// time than that, since it may pass the repeat on until its limit, so there is no answer to wait for afterwards. If an earlier attempt
+// is still in flight, that one may be answered later, and the deadline stays.
+func (p *Planner) limitToWindow(c *call) {
+	end := c.repeatableUntil()
+	if end >= c.Deadline || len(c.inFlight) > 0 {
+		return
+	}
+	c.Deadline, c.endsWithWindow = end, true
+	heap.Fix(&p.byDeadline, c.heapIndex)
+}
+
 // tooLateToSend reports whether an attempt sent now could not be answered by the call's deadline.
 func (p *Planner) tooLateToSend(c *call) bool { return p.now+p.cfg.Way >= c.Deadline }
 
--- a/client/plan/dispatch.go
+++ b/client/plan/dispatch.go
@@ -100,6 +100,8 @@
 }
 
 func (p *Planner) send(c *call, cn *conn) {
+	p.limitToWindow(c)
+	limit := min(c.Deadline, c.repeatableUntil()) - p.now - p.cfg.Way
 	p.lastID++
 	t := &attempt{id: p.lastID, call: c, conn: cn, sentAt: p.now}
 	cn.attempts[t.id] = t
@@ -124,7 +126,7 @@
 	p.sendRate.add(p.now)
 	p.dequeue(c)
 	p.emit(Send{
-		Conn: cn.id, Attempt: t.id, Call: c.ID, Limit: c.Deadline - p.now - p.cfg.Way, Retry: retry,
+		Conn: cn.id, Attempt: t.id, Call: c.ID, Limit: limit, Retry: retry,
 		SendKey: c.class.Effect == IdempotentWithKey,
 	})
 }
--- a/client/plan/keyed_test.go
+++ b/client/plan/keyed_test.go
@@ -65,6 +65,31 @@
 	}
 }
 
+// Guards against a repeat that a gateway holds for so long that stores don't drop it any more: the limit of the repeat ends with the
+// window, counted from the first attempt, and so does the call if the gateway does not answer.
+func TestLimitOfKeyedRepeatEndsWithWindow(t *testing.T) {
+	net, first := keyedCall(t)
+	sentAt := net.conns[first.Conn].sentAt[first.Attempt]
+	if first.Limit < 9*time.Second {
+		t.Errorf("the first attempt has a limit of %v, want nearly that of the call, 10s", first.Limit)
+	}
+	net.advance(time.Second, nil)
+	net.answer(first.Conn, first.Attempt, false, false, 0)
+	net.advance(ms, nil)
+	again := net.onlyAttempt(t)
+	if end := net.conns[again.Conn].sentAt[again.Attempt] + again.Limit; end > sentAt+3*time.Second || end < sentAt+2900*ms {
+		t.Errorf("the limit of the repeat ends %v after the first attempt, want just before the end of the window, 3s", end-sentAt)
+	}
+	net.advance(10*time.Second, func() {
+		for id := range net.conns {
+			net.handle(Received{Conn: id, Healthy: true}) // the gateway answers health checks, and not the attempt
+		}
+	})
+	if c := net.calls[1]; !c.ended || c.ending != Failed || c.endedAt > sentAt+3*time.Second {
+		t.Errorf("the call ended as %v at %v, want failed, as the first attempt, by the end of the window, %v", c.ending, c.endedAt, sentAt+3*time.Second)
+	}
+}
+
 // Guards against a call that waits behind its window for something that can't help it any more: it must end with the window.
 func TestWaitingKeyedCallEndsWithWindow(t *testing.T) {
 	net, s := keyedCall(t)
--- a/client/plan/planner_test.go
+++ b/client/plan/planner_test.go
@@ -124,8 +124,8 @@
 		net.t.Fatalf("Limit is %v with %v left until the deadline", a.Limit, c.Deadline-net.now)
 	case mayHaveRun && class.Effect == NonIdempotent:
 		net.t.Fatalf("non-idempotent call sent again after an attempt that may have run")
-	case mayHaveRun && class.Effect == IdempotentWithKey && net.now >= mayHaveRunSince+class.Window:
-		net.t.Fatalf("call with an idempotency key sent again after %v, outside the window", net.now-mayHaveRunSince)
+	case mayHaveRun && class.Effect == IdempotentWithKey && net.now+a.Limit >= mayHaveRunSince+class.Window:
+		net.t.Fatalf("call with an idempotency key sent again after %v with a limit of %v, outside the window", net.now-mayHaveRunSince, a.Limit)
 	case net.now < net.rejectedUntil[cn.gateway+" "+c.Class]:
 		net.t.Fatalf("attempt sent %v before the gateway's Retry-After ended", net.rejectedUntil[cn.gateway+" "+c.Class]-net.now)
 	case a.SendKey != (class.Effect == IdempotentWithKey):
--- a/test/keyed_test.go
+++ b/test/keyed_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -39,8 +40,8 @@
 	runs map[string][]time.Time
 }
 
-// receive runs a request, or drops it as a repeat. It returns the number of requests with the key so far, that one included.
-func (k *keyedStore) receive(a *storeRequest) (runs int) {
+// receive runs a request, or drops it as a repeat.
+func (k *keyedStore) receive(a *storeRequest) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.runs == nil {
@@ -50,7 +51,6 @@
 	if n := len(k.runs[key]); n == 0 || a.At.Sub(k.runs[key][n-1]) >= shortWindow {
 		k.runs[key] = append(k.runs[key], a.At)
 	}
-	return len(k.runs[key])
 }
 
 // checkRunOnce fails the test unless the key ran exactly once.
@@ -216,3 +216,67 @@
 	}
 	return resp.StatusCode
 }
+
+// fullUntilWindowEnds returns a handler of a store that runs the first request without an answer, is full while the window of that
+// lasts, which takes it a while to say, and serves what comes later. The first request is sent to the channel.
+func (k *keyedStore) fullUntilWindowEnds(first chan<- *storeRequest) func(*storeRequest) {
+	var once sync.Once
+	var ranAt time.Time
+	return func(a *storeRequest) {
+		isFirst := false
+		once.Do(func() { isFirst, ranAt = true, a.At })
+		switch {
+		case isFirst:
+			k.receive(a)
+			first <- a
+		case time.Since(ranAt) < shortWindow:
+			time.AfterFunc(300*time.Millisecond, func() { a.Reply("WAIT", "-", "") })
+		default:
+			k.receive(a)
+			a.Reply("DONE", "-", "")
+		}
+	}
+}
+
+// Guards against a second run behind the window by another gateway: the first one dies with the request, the client sends it to the
+// second one within the window, and the store takes it there only behind it.
+func TestKeyedRepeatAtAnotherGatewayStaysWithinWindow(t *testing.T) {
+	for _, transport := range []string{"RPC", "HTTP"} {
+		t.Run(transport, func(t *testing.T) {
+			rigs, addrs := [2]*rig{}, [2]string{}
+			stores := newStores(t)
+			for i := range rigs {
+				rigs[i], addrs[i] = signedRig(t, "", func(r *rig) { r.stores = stores }, useShortWindow)
+			}
+			k, first := &keyedStore{}, make(chan *storeRequest, 1)
+			rigs[0].setHandler(k.fullUntilWindowEnds(first))
+			cfg := libraryTransports(t, []string{rigs[0].addr, rigs[1].addr}, addrs[:])[transport]
+			cfg.Plan.Spread, cfg.Plan.Retries = time.Millisecond, 9
+			c := newLibraryClient(t, cfg)
+			ended := make(chan error, 1)
+			go func() {
+				_, err := c.Do(t.Context(), lib.Request{Class: "orders", Object: object, Key: orderKey})
+				ended <- err
+			}()
+			receive(t, first)
+			time.Sleep(shortWindow / 2)
+			killGatewaysWithAttempts(rigs[:])
+			if err := receive(t, ended); !errors.Is(err, lib.ErrUnknown) && !errors.Is(err, lib.ErrFailed) {
+				t.Errorf("error %v, want one that says that the request may have run", err)
+			}
+			if n := len(rigs[0].storeRequests(object)); n < 2 {
+				t.Errorf("the stores received %d attempts, want some of the second gateway", n)
+			}
+			k.checkRunOnce(t, orderKey)
+		})
+	}
+}
+
+// killGatewaysWithAttempts kills the gateways that have sent attempts.
+func killGatewaysWithAttempts(rigs []*rig) {
+	for _, r := range rigs {
+		if r.counter("attempts") > 0 {
+			r.signal(syscall.SIGKILL)
+		}
+	}
+}
