client: an attempt that is refused late has not run

A gateway falls silent with a keyed or unsafe call and refuses it after its health check failed: the call ended as unknown ("may have run") though every attempt was refused, and an unsafe one was not sent to another gateway. Cause: that an attempt in flight may have run was written down when its connection was given up, and stood after the refusal. Change: attempts that ended are recorded, those in flight are looked at each time; a refusal takes its attempt out. Evidence: TestCallRefusedLateHasNotRun (both classes ended as unknown before).

--- a/client/plan/call.go
+++ b/client/plan/call.go
@@ -13,7 +13,7 @@
 	class            *Class
 	order            uint64        // position in the order of arrival
 	attemptCount     int           // attempts sent so far
-	mayHaveRunSince  time.Duration // when the earliest attempt that may have run was sent; negative: no attempt may have run
+	mayHaveRunSince  time.Duration // when the earliest attempt that ended and may have run was sent; negative: there is none
 	inFlight         []*attempt
 	connectNotBefore time.Duration // earliest time to connect for this call, drawn by connectTime; 0: not drawn
 	pendingGateway   *gateway      // the gateway that the call waits for, until a connection has capacity; nil: none
@@ -120,7 +120,7 @@
 
 // repeatableAnyTime reports whether the call may be made again however late: it is idempotent, or no attempt may have run.
 func (c *call) repeatableAnyTime() bool {
-	return c.class == nil || c.class.Effect == Idempotent || c.mayHaveRunSince < 0
+	return c.class == nil || c.class.Effect == Idempotent || c.firstMayHaveRun() < 0
 }
 
 // uncertainEnding returns the ending of a call that may have run and gets no further attempt.
@@ -131,9 +131,21 @@
 	return Unknown
 }
 
-// recordMayHaveRun records that an attempt may have run: from then on mayRepeat limits further attempts.
+// recordMayHaveRun records that an attempt has ended that may have run: from then on mayRepeat limits further attempts.
 func (c *call) recordMayHaveRun(t *attempt) {
 	if c.mayHaveRunSince < 0 || t.sentAt < c.mayHaveRunSince {
 		c.mayHaveRunSince = t.sentAt
 	}
 }
+
+// firstMayHaveRun returns when the earliest attempt was sent that may have run or is in flight; negative: there is none. An attempt in
+// flight may turn out not to have run, if it is rejected.
+func (c *call) firstMayHaveRun() time.Duration {
+	first := c.mayHaveRunSince
+	for _, t := range c.inFlight {
+		if first < 0 || t.sentAt < first {
+			first = t.sentAt
+		}
+	}
+	return first
+}
--- a/client/plan/deadline.go
+++ b/client/plan/deadline.go
@@ -19,7 +19,7 @@
 
 // onlyRejected reports whether a gateway rejected the call or its class, no attempt may have run, and none is in flight.
 func (c *call) onlyRejected() bool {
-	return len(c.inFlight) == 0 && c.rejectedUntil > 0 && c.mayHaveRunSince < 0
+	return c.rejectedUntil > 0 && c.firstMayHaveRun() < 0
 }
 
 // limitToWindow lowers the deadline of a call that is about to be repeated to the end of its class's window. The gateway gets no more
--- a/client/plan/dispatch.go
+++ b/client/plan/dispatch.go
@@ -78,10 +78,10 @@
 		return
 	}
 	c.rejectedUntil = max(c.rejectedUntil, until)
-	switch {
-	case until+p.cfg.Way >= c.repeatableUntil():
+	switch back := until + p.cfg.Way; {
+	case back >= min(c.repeatableUntil(), c.Deadline) && !c.repeatableAnyTime():
 		p.stopRetrying(c)
-	case until+p.cfg.Way >= c.Deadline:
+	case back >= c.Deadline:
 		p.finish(c, Refused, 0)
 	}
 }
--- a/client/plan/health.go
+++ b/client/plan/health.go
@@ -76,7 +76,6 @@
 	p.eject(cn.gateway)
 	for _, t := range attempts {
 		c := t.call
-		c.recordMayHaveRun(t)
 		if len(c.inFlight) == 1 && !p.isWaiting(c) {
 			c.redirecting = p.scheduleRetry(c)
 		}
--- a/client/plan/keyed_test.go
+++ b/client/plan/keyed_test.go
@@ -102,3 +102,27 @@
 		t.Errorf("the call ended as %v at %v, want failed by the end of the window, 3s", c.ending, c.endedAt)
 	}
 }
+
+// Guards against the ending "unknown" of a call that has not run: a gateway falls silent with the attempt, and refuses it later, after
+// the call was sent again and refused elsewhere.
+func TestCallRefusedLateHasNotRun(t *testing.T) {
+	for _, class := range []string{"keyed", "unsafe"} {
+		cfg := testConfig()
+		cfg.Retries, cfg.Silence, cfg.Spread = 1, 200*ms, ms
+		net := newFakeNetwork(t, cfg, 4)
+		net.handle(Call{ID: 1, Class: class, Deadline: 10 * time.Second})
+		net.advance(time.Second, nil) // the gateway does not answer and is ejected
+		all := net.inFlight()
+		if wanted := map[string]int{"keyed": 2, "unsafe": 1}[class]; len(all) != wanted {
+			t.Fatalf("class %s: %d attempts in flight, want %d", class, len(all), wanted)
+		}
+		net.advance(10*time.Second, func() {
+			for _, s := range net.inFlight() {
+				net.answer(s.Conn, s.Attempt, false, true, 9*time.Second)
+			}
+		})
+		if c := net.calls[1]; !c.ended || c.ending != Refused {
+			t.Errorf("class %s: ended %v as %v, want refused", class, c.ended, c.ending)
+		}
+	}
+}
--- a/client/plan/retry.go
+++ b/client/plan/retry.go
@@ -67,9 +67,9 @@
 	case c.repeatableAnyTime():
 		return never
 	case c.class.Effect == IdempotentWithKey:
-		return c.mayHaveRunSince + c.class.Window
+		return c.firstMayHaveRun() + c.class.Window
 	default:
-		return c.mayHaveRunSince
+		return c.firstMayHaveRun()
 	}
 }
 
