client: over HTTP only a gateway's own 503 says that a keyed request did not run

A balancer or proxy before the signed front answers 503 when it loses the connection to a gateway with the request; the library took that for a refusal, which shows that nothing ran, and sent a keyed request again, or told its caller to come back, at any time. Cause: a status that many send, taken for the word of the one who can know. What is safe to repeat heeds any 503, as before. That a keyed call that has not run is still reported as refused is checked over processes, RPC and HTTP, by TestLibraryReportsRefusalOfKeyedRequest.

--- a/client/http.go
+++ b/client/http.go
@@ -46,6 +46,9 @@
 	maxUndeliveredWrites = 4
 )
 
+// rejectionText begins the body of a gateway's rejection.
+const rejectionText = "refused:"
+
 // idempotencyKeyHeader is the header's name as it is written to the wire. It is lower-case on purpose: net/http considers a
 // request with the header in canonical form to be idempotent and would retry it by itself.
 const idempotencyKeyHeader = "idempotency-key"
@@ -148,7 +151,7 @@
 		}
 		resp, err := c.client.Do(q) //nolint:bodyclose // readAnswer closes it
 		if err == nil {
-			return c.readAnswer(resp)
+			return c.readAnswer(t, resp)
 		}
 		if used.mayHaveArrived() || ctx.Err() != nil || writes == maxUndeliveredWrites {
 			return Answer{}, err
@@ -173,7 +176,7 @@
 func (u *usedConn) mayHaveArrived() bool { return u.conn == nil || u.conn.mayHaveArrived(u.offset) }
 
 // readAnswer reads the body of a response, closes it, and converts the response to an answer.
-func (c *httpConn) readAnswer(resp *http.Response) (Answer, error) {
+func (c *httpConn) readAnswer(t Try, resp *http.Response) (Answer, error) {
 	defer func() { _ = resp.Body.Close() }() // the body has been read
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
@@ -182,7 +185,7 @@
 	if len(body) > maxAnswerBytes {
 		return Answer{}, errors.New("the body of the answer is longer than 256 KiB")
 	}
-	return c.answer(resp, body), nil
+	return c.answer(t, resp, body), nil
 }
 
 // newRequest creates the HTTP request of an attempt. It carries the renewed token in a cookie if there is one, otherwise its
@@ -230,10 +233,14 @@
 	}
 }
 
-// answer converts a response to an answer: 200 and 304 are served, 503 is a rejection, any other status a failure. It stores
-// a renewed token, and drops the stored one after a 403.
-func (c *httpConn) answer(resp *http.Response, body []byte) Answer {
+// answer converts the response to an attempt to an answer: 200 and 304 are served, 503 is a rejection, any other status a failure.
+// It stores a renewed token, and drops the stored one after a 403.
+func (c *httpConn) answer(t Try, resp *http.Response, body []byte) Answer {
 	a := Answer{Tag: strings.Trim(resp.Header.Get("ETag"), `"`)}
+	if isRejection(t, resp, body) {
+		a.Backoff, a.Later = true, retryAfter(resp)
+		return a
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		a.OK, a.Body = true, body
@@ -241,8 +248,6 @@
 	case http.StatusNotModified:
 		a.OK, a.Unchanged = true, true
 		c.http.storeRenewedToken(resp.Cookies())
-	case http.StatusServiceUnavailable:
-		a.Backoff, a.Later = true, retryAfter(resp)
 	case http.StatusForbidden:
 		c.http.dropRenewedToken()
 		a.Err = fmt.Errorf("%w: %s", ErrToken, errorText(body))
@@ -252,6 +257,16 @@
 	return a
 }
 
+// isRejection reports whether a response rejects an attempt, so that retrying is harmless. Proxies answer 503, too, when they lose the
+// connection to a gateway, which may have run the request by then. So a rejection of an attempt with an idempotency key must
+// have the text of a gateway's.
+func isRejection(t Try, resp *http.Response, body []byte) bool {
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		return false
+	}
+	return t.Key == "" || bytes.HasPrefix(body, []byte(rejectionText))
+}
+
 // retryAfter returns the Retry-After of a response, at most maxRetryAfter. It returns 0 if the header is missing or is not a
 // number of seconds.
 func retryAfter(resp *http.Response) time.Duration {
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -70,10 +70,13 @@
 	return a.classes[class].Name
 }
 
+// rejectionText tells a client that retrying is harmless. Package client looks for its first word.
+const rejectionText = "refused: trying again is harmless"
+
 // Overloaded returns the answer to a request with a valid token that is shed. backoff is the time after which the
 // client may retry; 0: no advice.
 func Overloaded(backoff time.Duration) *Problem {
-	return newProblem(http.StatusServiceUnavailable, "refused: trying again is harmless", retryAfter(backoff)...)
+	return newProblem(http.StatusServiceUnavailable, rejectionText, retryAfter(backoff)...)
 }
 
 // retryAfter returns a Retry-After field in whole seconds (RFC 9110, 10.2.3), rounded up, or none if d is 0.
@@ -268,7 +271,7 @@
 	case gateway.OutcomeRejected:
 		r.Status = http.StatusServiceUnavailable
 		r.Header = append(r.Header, retryAfter(ans.RetryAfter)...)
-		r.Body = []byte("refused: trying again is harmless\n")
+		r.Body = []byte(rejectionText + "\n")
 	case gateway.OutcomeExpired:
 		r.Status = http.StatusGatewayTimeout
 		r.Body = []byte("no answer in time\n")
--- a/test/keyed_test.go
+++ b/test/keyed_test.go
@@ -197,6 +197,22 @@
 	}
 }
 
+// Guards against failing a keyed call that has not run: the library must report a refusal, on both transports, and its
+// http.RoundTripper status 503.
+func TestLibraryReportsRefusalOfKeyedRequest(t *testing.T) {
+	r, addr := signedRig(t, "", useShortWindow)
+	r.setHandler(func(a *storeRequest) { a.Reply("WAIT", "-", "") })
+	for name, cfg := range libraryTransports(t, []string{r.addr}, []string{addr}) {
+		c := newLibraryClient(t, cfg)
+		if _, err := c.Do(t.Context(), lib.Request{Class: "orders", Object: object}); !errors.Is(err, lib.ErrRefused) {
+			t.Errorf("%s: error %v, want ErrRefused", name, err)
+		}
+		if status := postThroughRoundTripper(t, c, orderKey); status != http.StatusServiceUnavailable {
+			t.Errorf("%s: RoundTripper: status %d, want 503", name, status)
+		}
+	}
+}
+
 // postThroughRoundTripper sends a keyed request through an http.Client that uses a client of the library, and returns the status of
 // the response; 0: an error.
 func postThroughRoundTripper(t *testing.T, c *lib.Client, key string) int {
