--- a/test/keyed_test.go
+++ b/test/keyed_test.go
@@ -146,6 +146,38 @@
 	}
 }
 
+// Guards against refusing a keyed request that a store has, while the gateway that sent it there ends, with a successor or without:
+// at the request's deadline, behind its window, and where the store resets its connection.
+func TestKeyedRequestOpenAtShutdownIsNotRefused(t *testing.T) {
+	for _, upgrade := range []bool{false, true} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("upgrade %v, reset %v", upgrade, reset), func(t *testing.T) {
+				r := newRig(t).withSharedTempDir()
+				useShortWindow(r)
+				r.start()
+				pending := make(chan *storeRequest, 10)
+				r.setHandler(func(a *storeRequest) { pending <- a })
+				c := r.client()
+				c.send("orders", object, 2*time.Second, "move", "unique", orderKey)
+				a := receive(t, pending)
+				if upgrade {
+					r.startSuccessor()
+				}
+				r.signal(syscall.SIGTERM)
+				if reset {
+					resetAt(a, shortWindow+100*time.Millisecond)
+				}
+				if got := c.readAnswer(); got.err == "" || got.err == "Backoff" {
+					t.Errorf("answer %+v, want a failure", got)
+				}
+				if n := len(r.storeRequests(object)); n != 1 {
+					t.Errorf("the stores received %d attempts, want 1", n)
+				}
+			})
+		}
+	}
+}
+
 // libraryTransports are the transports of the client library with the addresses of the gateways that they use.
 func libraryTransports(t *testing.T, rpcAddrs, httpAddrs []string) map[string]lib.Config {
 	issuer, err := signedurl.NewIssuer(signedKeys, "new")
