client: calls with one key share its window

A program whose call may have run calls Do again with the same key, as client.md advises. The client took the key for a new one: the call could wait, for a gateway to recover or for a Retry-After, and be sent behind the window, and it ended as refused or unsent ("did not run") though the former call may have run. Cause: the window was kept with the call; it belongs to the key. The attempts of all calls with a key count for its window, for limits and for endings. The random events draw keys now.

--- a/client/client.go
+++ b/client/client.go
@@ -155,7 +155,7 @@
 		k.idempotencyKey = c.drawHex(idempotencyKeyBytes)
 	}
 	c.calls[id] = k
-	c.apply(plan.Call{ID: id, Class: k.request.Class, Deadline: deadline.Sub(c.epoch)})
+	c.apply(plan.Call{ID: id, Class: k.request.Class, Key: k.request.Key, Deadline: deadline.Sub(c.epoch)})
 	return id
 }
 
--- a/client/plan/call.go
+++ b/client/plan/call.go
@@ -11,6 +11,7 @@
 	Call
 	heapIndex        int // index in deadlineHeap; -1: not in it
 	class            *Class
+	keyRecord        *keyRecord    // nil: the caller has not chosen the idempotency key
 	order            uint64        // position in the order of arrival
 	attemptCount     int           // attempts sent so far
 	mayHaveRunSince  time.Duration // when the earliest attempt that ended and may have run was sent; negative: there is none
@@ -55,6 +56,7 @@
 	p.lastOrder++
 	c.order = p.lastOrder
 	p.calls[ev.ID] = c
+	p.keys.open(c, p.now)
 	heap.Push(&p.byDeadline, c)
 	p.enqueue(c)
 }
@@ -95,6 +97,7 @@
 // release removes a call from the planner and abandons its attempts.
 func (p *Planner) release(c *call) {
 	delete(p.calls, c.ID)
+	p.keys.close(c)
 	if c.heapIndex >= 0 {
 		heap.Remove(&p.byDeadline, c.heapIndex)
 	}
@@ -133,19 +136,23 @@
 
 // recordMayHaveRun records that an attempt has ended that may have run: from then on mayRepeat limits further attempts.
 func (c *call) recordMayHaveRun(t *attempt) {
-	if c.mayHaveRunSince < 0 || t.sentAt < c.mayHaveRunSince {
-		c.mayHaveRunSince = t.sentAt
-	}
+	c.mayHaveRunSince = earliest(c.mayHaveRunSince, t.sentAt)
 }
 
-// firstMayHaveRun returns when the earliest attempt was sent that may have run or is in flight; negative: there is none. An attempt in
-// flight may turn out not to have run, if it is rejected.
+// firstMayHaveRun returns when the earliest attempt was sent that may have run or is in flight, of this call or another one with its
+// key; negative: there is none. An attempt in flight may turn out not to have run, if it is rejected.
 func (c *call) firstMayHaveRun() time.Duration {
+	if c.keyRecord != nil {
+		return c.keyRecord.firstMayHaveRun()
+	}
+	return c.ownFirstMayHaveRun()
+}
+
+// ownFirstMayHaveRun is firstMayHaveRun for the attempts of this call.
+func (c *call) ownFirstMayHaveRun() time.Duration {
 	first := c.mayHaveRunSince
 	for _, t := range c.inFlight {
-		if first < 0 || t.sentAt < first {
-			first = t.sentAt
-		}
+		first = earliest(first, t.sentAt)
 	}
 	return first
 }
--- a/client/plan/deadline.go
+++ b/client/plan/deadline.go
@@ -2,15 +2,15 @@
 
 import "container/heap"
 
-// expire ends a call that has no time left: as Refused if it was only rejected, as Unsent if no attempt was sent, otherwise
-// as Expired. A call whose window has ended, but not its deadline, ends as Failed or Unknown.
+// expire ends a call that has no time left: as Refused if it was only rejected, as Unsent if no attempt was sent, also of
+// another call with its key, otherwise as Expired. A call whose window has ended, but not its deadline, ends as Failed or Unknown.
 func (p *Planner) expire(c *call) {
 	switch {
 	case c.endsWithWindow:
 		p.finish(c, c.uncertainEnding(), 0)
 	case c.onlyRejected():
 		p.finish(c, Refused, 0)
-	case c.attemptCount == 0:
+	case c.attemptCount == 0 && c.repeatableAnyTime():
 		p.finish(c, Unsent, 0)
 	default:
 		p.finish(c, Expired, 0)
--- a/client/plan/dispatch.go
+++ b/client/plan/dispatch.go
@@ -36,7 +36,7 @@
 		p.expire(c)
 		return false
 	}
-	if c.attemptCount > 0 && !p.mayRepeat(c) { // the class's window ended while the call waited
+	if !p.mayRepeat(c) { // the class's window ended while the call waited
 		p.stopRetrying(c)
 		return false
 	}
--- a/client/plan/plan.go
+++ b/client/plan/plan.go
@@ -11,6 +11,7 @@
 //   - deadline.go: when a call expires;
 //   - dispatch.go, gateway.go: in which order waiting calls are sent, and to which gateway;
 //   - retry.go: which calls may be sent again, and the retry budget;
+//   - key.go: what calls with the same idempotency key know of each other;
 //   - health.go: when a gateway is ejected, and when it is used again;
 //   - conn.go: when to connect, and how reconnects are spread over time;
 //   - result.go: what the planner does with an answer;
@@ -54,7 +55,8 @@
 	Unknown
 	// Expired: the deadline passed before an answer. The call may have run.
 	Expired
-	// Unsent: no attempt was sent by the deadline, or the class is not configured. Nothing ran.
+	// Unsent: no attempt was sent by the deadline, or the class is not configured. Nothing ran, of other calls with the same key
+	// neither.
 	Unsent
 	// Closed: the planner was closed before the call ended. The call may have run if an attempt had been sent.
 	Closed
@@ -73,6 +75,7 @@
 type Call struct {
 	ID       uint64
 	Class    string
+	Key      string // idempotency key that the caller has chosen, and may use for other calls; empty: none
 	Deadline time.Duration
 }
 
--- a/client/plan/planner.go
+++ b/client/plan/planner.go
@@ -28,6 +28,7 @@
 	lastID   uint64 // the last id given to a connection or an attempt
 
 	calls         map[uint64]*call
+	keys          keyRecords
 	lastOrder     uint64 // the order of the newest call
 	byDeadline    deadlineHeap
 	waiting       []*call // calls to be sent; sorted by priority weight if waitingSorted
@@ -46,7 +47,7 @@
 	}
 	p := &Planner{
 		cfg: cfg, rng: rng, classes: map[string]*Class{}, calls: map[uint64]*call{}, conns: map[uint64]*conn{},
-		retryBudget: newRetryBudget(cfg),
+		keys: keyRecords{byName: map[keyName]*keyRecord{}}, retryBudget: newRetryBudget(cfg),
 	}
 	for i := range cfg.Classes {
 		p.classes[cfg.Classes[i].Name] = &cfg.Classes[i]
--- a/client/plan/planner_test.go
+++ b/client/plan/planner_test.go
@@ -209,6 +209,7 @@
 			if step <= 3 || len(ids) == 0 {
 				id++
 				net.handle(Call{ID: id, Class: rapid.SampledFrom([]string{"safe", "keyed", "unsafe", "none"}).Draw(t, "class"),
+					Key:      rapid.SampledFrom([]string{"", "one", "two"}).Draw(t, "key"),
 					Deadline: net.now + time.Duration(rapid.IntRange(0, 5000).Draw(t, "limit"))*ms})
 				continue
 			}
--- a/client/plan/result.go
+++ b/client/plan/result.go
@@ -51,6 +51,7 @@
 func (p *Planner) handleServed(t *attempt) {
 	p.retryBudget.earn()
 	t.conn.gateway.recordResult(servedScore)
+	t.call.recordMayHaveRun(t)
 	p.finish(t.call, Served, t.id)
 }
 
--- a/client/request.go
+++ b/client/request.go
@@ -18,7 +18,7 @@
 	Part   int    // 0 to 1,048,576
 	Group  int    // 0 to 255
 	Have   string // tag of the caller's copy, for revalidation, up to 128 bytes; empty: no copy
-	Key    string // idempotency key for classes with the effect Keyed, up to 128 bytes; empty: a random one
+	Key    string // idempotency key for classes with the effect Keyed, up to 128 bytes; empty: a random one. To be used again only within Class.Window of its first call
 	Body   []byte // up to 48,000 bytes
 }
 
