signed front: no content in the answer to a HEAD

Cause: of the places that answer, only that for the gateway's answers knew the method; respondProblem wrote content always. Change: each answer is told whether it is to a HEAD, by the parsed head or, of what is incomplete or malformed, by the first word. The round tripper gives no content for HEAD. /healthz takes only HEAD for HEAD.

--- a/client/roundtripper.go
+++ b/client/roundtripper.go
@@ -14,7 +14,8 @@
 
 // RoundTripper is an http.RoundTripper that sends requests through a [Client], for programs that use an http.Client. It
 // accepts URLs with the path and query /CLASS/OBJECT/PART?shard=GROUP; shard is optional. The host, the method and tokens in
-// the URL are ignored: the client chooses the gateway, and its transport signs requests. It is safe for concurrent use.
+// the URL are ignored: the client chooses the gateway, and its transport signs requests. Only the response to a HEAD differs: it has no
+// content. It is safe for concurrent use.
 type RoundTripper struct{ Client *Client }
 
 // RoundTrip sends a request with [Client.Do] and converts the result: status 200, 304 if the copy named in If-None-Match is
@@ -77,6 +78,9 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Request: q,
 		ContentLength: int64(len(got.Body)), Body: io.NopCloser(bytes.NewReader(got.Body)),
 	}
+	if q.Method == http.MethodHead {
+		resp.Body = http.NoBody
+	}
 	if got.Tag != "" {
 		resp.Header.Set("ETag", `"`+got.Tag+`"`)
 	}
--- a/internal/net/agentcheck/agentcheck.go
+++ b/internal/net/agentcheck/agentcheck.go
@@ -149,7 +149,7 @@
 	h.checker.Loop.Post(func() {
 		status, contentType, text := h.answer(line)
 		body := text
-		if bytes.HasPrefix(line, []byte("HEAD")) {
+		if bytes.HasPrefix(line, []byte("HEAD ")) {
 			body = ""
 		}
 		_ = tc.Write(fmt.Appendf(nil, "HTTP/1.1 %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n"+
--- a/internal/net/signedfront/conn.go
+++ b/internal/net/signedfront/conn.go
@@ -138,10 +138,11 @@
 
 // turnAway answers an incomplete request with status 503 and closes the connection, after the answer to an open request.
 func (c *conn) turnAway() {
+	withoutContent := startsWithHead(c.buf)
 	c.releaseBuffer()
 	c.closing = true
 	if c.current == nil && !c.checking {
-		c.respondProblem(httpapi.Overloaded(c.front.gateway.RetryAfter(c.tc.Remote)))
+		c.respondProblem(httpapi.Overloaded(c.front.gateway.RetryAfter(c.tc.Remote)), withoutContent)
 	}
 }
 
@@ -157,7 +158,7 @@
 		h, size, p := parseHead(c.buf)
 		if p != nil { // the start of the next request is unknown, so the connection must close
 			c.closing = true
-			c.respondProblem(p)
+			c.respondProblem(p, startsWithHead(c.buf))
 			return
 		}
 		if h == nil || len(c.buf) < size+h.bodyLength {
@@ -171,7 +172,7 @@
 		if memory := int64(gateway.RequestBytes + size + h.bodyLength); c.memory.Reserve(memory, c.load.Light()) {
 			c.enqueueCheck(h, body, c.lastByte, memory)
 		} else {
-			c.respondProblem(httpapi.Overloaded(c.front.gateway.RetryAfter(h.target)))
+			c.respondProblem(httpapi.Overloaded(c.front.gateway.RetryAfter(h.target)), h.isHead())
 		}
 	}
 }
@@ -236,7 +237,7 @@
 	f := c.front
 	if f.closed { // after CloseAll or Retire the keys may no longer be valid
 		c.closing = true
-		c.respondProblem(httpapi.Overloaded(f.gateway.RetryAfter(h.target)))
+		c.respondProblem(httpapi.Overloaded(f.gateway.RetryAfter(h.target)), h.isHead())
 		return false
 	}
 	authorized, p := f.api.Authorize(httpapi.Request{Method: h.method, Target: h.target, Header: h.get, Body: body, ReceivedAt: at})
@@ -244,7 +245,7 @@
 		p = httpapi.Overloaded(f.gateway.RetryAfter(h.target))
 	}
 	if p != nil {
-		c.respondProblem(p)
+		c.respondProblem(p, h.isHead())
 		return false
 	}
 	f.Admitted++
@@ -268,14 +269,15 @@
 	return true
 }
 
-// respondProblem writes an answer that the front gives without the gateway.
-func (c *conn) respondProblem(p *httpapi.Problem) {
+// respondProblem writes an answer that the front gives without the gateway. See respond.
+func (c *conn) respondProblem(p *httpapi.Problem, withoutContent bool) {
 	c.front.ProblemsByReason[p.Reason]++
-	c.respond(p.Response(), false)
+	c.respond(p.Response(), withoutContent)
 }
 
-// respond writes one answer, without its body if headOnly, and closes the connection afterwards if it is closing.
-func (c *conn) respond(r httpapi.Response, headOnly bool) {
+// respond writes one answer, and closes the connection afterwards if it is closing. The answer to a HEAD is written without content: its
+// client takes what follows the head for the next answer (RFC 9110, 9.3.2).
+func (c *conn) respond(r httpapi.Response, withoutContent bool) {
 	c.front.AnswersByStatus[r.Status]++
 	c.tracked.LastActive = c.front.loop.Now()
 	b := append(make([]byte, 0, 512), "HTTP/1.1 "...)
@@ -291,7 +293,7 @@
 		b = append(b, "Connection: close\r\n"...)
 	}
 	b = append(b, "\r\n"...)
-	if headOnly {
+	if withoutContent {
 		r.Body = nil
 	}
 	if c.write(b, r.Body) && c.closing {
--- a/internal/net/signedfront/front.go
+++ b/internal/net/signedfront/front.go
@@ -145,7 +145,7 @@
 		for c := range f.conns {
 			if c.tracked == n && !c.closing {
 				c.closing = true
-				c.respondProblem(&httpapi.Problem{Status: http.StatusRequestTimeout, Reason: "the request did not come whole"})
+				c.respondProblem(&httpapi.Problem{Status: http.StatusRequestTimeout, Reason: "the request did not come whole"}, startsWithHead(c.buf))
 			}
 		}
 	})
--- a/internal/net/signedfront/parser.go
+++ b/internal/net/signedfront/parser.go
@@ -30,6 +30,12 @@
 	expectContinue bool                // the client waits for 100 Continue
 }
 
+// isHead reports whether the method is HEAD.
+func (h *head) isHead() bool { return h.method == http.MethodHead }
+
+// startsWithHead reports whether b begins with a HEAD request, which may be incomplete or malformed.
+func startsWithHead(b []byte) bool { return bytes.HasPrefix(b, []byte(http.MethodHead+" ")) }
+
 // get returns the values of a header field; the name may be in any case.
 func (h *head) get(name string) []string { return h.fields[strings.ToLower(name)] }
 
