signed front: waiting behind an earlier request of one's connection is no overload

What callers saw: of five requests that a client pipelines behind one that takes 0.5 s, four were refused at once when their turn came (503), and the gateway counted them as overdue, which raises the share that is shed of all. Cause: a pipelined request was queued for its check as of its arrival, so that the time behind its own connection's open request counted as waiting for the loop. Change: the wait counts from when the request could have been started, the answer before it. Evidence: TestPipelinedRequestsAreServed got 200, 503, 503, 503, 503 and load_overdue 4 before; now 200 five times and 0.

--- a/internal/net/signedfront/conn.go
+++ b/internal/net/signedfront/conn.go
@@ -25,6 +25,7 @@
 	load         overload.ClientLoad
 	buf          []byte
 	lastByte     time.Time
+	answeredAt   time.Time // when the latest request was answered
 	tracked      *transport.TrackedConn
 	current      *httpapi.AdmittedRequest // the open request; nil: none
 	queuedCheck  gateway.QueuedWork       // queued check of the next request
@@ -227,7 +228,16 @@
 		f.gateway.EnqueueRejection(&c.queuedCheck, gateway.SignedFront, func() { run(true) })
 		return
 	}
-	f.gateway.Enqueue(&c.queuedCheck, gateway.SignedFront, class, at, run)
+	f.gateway.Enqueue(&c.queuedCheck, gateway.SignedFront, class, c.readySince(at), run)
+}
+
+// readySince returns since when a request that arrived at a time could have been started. The time for which it waited behind an earlier
+// one of its connection says nothing of the load, and is no reason to shed it.
+func (c *conn) readySince(arrived time.Time) time.Time {
+	if c.answeredAt.After(arrived) {
+		return c.answeredAt
+	}
+	return arrived
 }
 
 // checkAndSubmit checks a request's token and submits the request to the gateway, or rejects it if it is shed: only a
@@ -252,7 +262,7 @@
 	authorized.Request.ID = f.newRequestID()
 	c.current = authorized
 	r := authorized.Request
-	r.ArrivedAt, r.Front, r.Client, r.Admitted = at, gateway.SignedFront, c.client, true
+	r.ArrivedAt, r.Front, r.Client, r.Admitted = c.readySince(at), gateway.SignedFront, c.client, true
 	r.ClientConnected = func() bool { return !c.tc.Closing() && !c.tc.PeerClosed() }
 	r.Answer = func(a gateway.Answer) {
 		if c.current != authorized { // the client has closed the connection
@@ -279,7 +289,8 @@
 // client takes what follows the head for the next answer (RFC 9110, 9.3.2).
 func (c *conn) respond(r httpapi.Response, withoutContent bool) {
 	c.front.AnswersByStatus[r.Status]++
-	c.tracked.LastActive = c.front.loop.Now()
+	c.answeredAt = c.front.loop.Now()
+	c.tracked.LastActive = c.answeredAt
 	b := append(make([]byte, 0, 512), "HTTP/1.1 "...)
 	b = append(strconv.AppendInt(b, int64(r.Status), 10), ' ')
 	b = append(append(b, http.StatusText(r.Status)...), "\r\n"...)
