--- a/cmd/larchusher/listeners.go
+++ b/cmd/larchusher/listeners.go
@@ -82,14 +82,22 @@
 	return nil
 }
 
-// checkState returns the state that health checks report to load balancers.
+// notHeardReason tells balancers, and whoever reads their status pages, why a gateway that has started is not ready.
+const notHeardReason = "no word from the journal service yet"
+
+// checkState returns the state that health checks report to load balancers. The gateway is not ready before it knows which endpoints are
+// live, that is before it has heard the discovery service since its start. Afterwards it stays ready while that service is silent or
+// unreachable: it goes on with the list that it has, as all other gateways do.
 func (p *program) checkState() agentcheck.State {
 	s := agentcheck.State{
-		Ready:    p.discovery.Connected() && (p.cluster == nil || p.cluster.Ready()),
+		Ready:    p.cluster == nil || p.cluster.Ready(),
 		Draining: p.draining,
 		Weight:   p.gateway.BalancerWeight(),
 	}
-	if p.cluster != nil && p.cluster.CatchingUp() {
+	switch {
+	case !p.discovery.Heard():
+		s.Ready, s.Reason = false, notHeardReason
+	case p.cluster != nil && p.cluster.CatchingUp():
 		s.Ready, s.Reason = false, "catching up"
 	}
 	return s
--- a/internal/net/discovery/client.go
+++ b/internal/net/discovery/client.go
@@ -41,6 +41,7 @@
 	position       int64   // position of the latest event received; 0: none
 	current        *stream // nil: no connection, except slow ones that are still connecting
 	lastByte       time.Time
+	heard          bool // see Heard
 	backoff        time.Duration
 	reconnectTimer *gateway.Timer // starts the next connection after the backoff
 
@@ -81,8 +82,12 @@
 	}
 }
 
-// Connected reports whether a connection to the service is established.
-func (c *Client) Connected() bool { return c.current != nil && c.current.tc != nil }
+// Heard reports whether the service has sent a line of its event stream since the start. Until then the endpoint list is that of the
+// configuration, which may be old.
+func (c *Client) Heard() bool { return c.heard }
+
+// isConnected reports whether a connection to the service is established.
+func (c *Client) isConnected() bool { return c.current != nil && c.current.tc != nil }
 
 // connect starts a connection. Earlier ones that are still being established may be used instead, if they are faster.
 func (c *Client) connect() {
@@ -97,7 +102,7 @@
 // connected is called when a connection is established. It requests the events on it, or closes it if another
 // connection is in use or the address has changed.
 func (c *Client) connected(s *stream, tc *transport.Conn) {
-	if c.Connected() || s.addr != c.addr || s.closed {
+	if c.isConnected() || s.addr != c.addr || s.closed {
 		tc.Close(errSuperseded)
 		return
 	}
--- a/internal/net/discovery/client_test.go
+++ b/internal/net/discovery/client_test.go
@@ -86,7 +86,7 @@
 // isConnected calls Connected on the loop.
 func isConnected(c *Client, loop *gateway.Loop) bool {
 	answer := make(chan bool)
-	loop.Post(func() { answer <- c.Connected() })
+	loop.Post(func() { answer <- c.isConnected() })
 	return <-answer
 }
 
--- a/internal/net/discovery/sse.go
+++ b/internal/net/discovery/sse.go
@@ -47,6 +47,9 @@
 	events         eventParser
 }
 
+// spoke reports whether a line of the event stream, such as a comment, has been read completely.
+func (p *responseParser) spoke() bool { return p.events.lines > 0 }
+
 // feed parses the next bytes of a response and calls emit with the data and the ID of each complete event. The parser
 // must not be used after an error.
 func (p *responseParser) feed(b []byte, emit func(data []byte, id string)) error {
@@ -144,9 +147,10 @@
 
 // eventParser parses server-sent events. The zero value is ready for use.
 type eventParser struct {
-	buf  []byte // an incomplete line
-	data []byte // of the current event
-	id   string // latest ID received
+	buf   []byte // an incomplete line
+	data  []byte // of the current event
+	id    string // latest ID received
+	lines uint64 // complete lines
 }
 
 // feed parses the next bytes and calls emit with the data and the ID of each complete event.
@@ -159,6 +163,7 @@
 		}
 		line := bytes.TrimSuffix(p.buf[:i], []byte("\r"))
 		p.buf = p.buf[i+1:]
+		p.lines++
 		p.handleLine(line, emit)
 	}
 	if len(p.buf)+len(p.data) > maxEventBytes {
--- a/internal/net/discovery/stream.go
+++ b/internal/net/discovery/stream.go
@@ -33,7 +33,11 @@
 		}
 		events = append(events, e)
 	})
-	s.client.loop.Post(func() { s.client.handleEvents(s, events, dropped, at) })
+	spoke := s.parser.spoke()
+	s.client.loop.Post(func() {
+		s.client.handleEvents(s, events, dropped, at)
+		s.client.heard = s.client.heard || spoke
+	})
 	return err
 }
 
