signed URLs: the query is signed, or its group is not believed

Cause: the token covers the path alone, and the rule on purges took the group from the query. Change: the signer puts a digest of the query into the field data of the token, and the verifier rejects another query. A token without it, or for a pattern, is as valid as before, but the group is then unknown to the director: the latest purge of any group counts.

--- a/gateway/requests.go
+++ b/gateway/requests.go
@@ -19,6 +19,7 @@
 	Object          string
 	Part            int     // index of the part of the object
 	Group           int     // group of the object, which a purge may name instead of the object
+	GroupUnknown    bool    // Group is not known to be that of the object
 	SizeKB          float64 // size of the part in KB as the client states it; 0: not stated
 	IdempotencyKey  string  // needed in classes of effect routing.IdempotentWithKey
 	IfNoneMatch     string  // entity tag of a copy that the client holds
@@ -200,6 +201,7 @@
 		Object:        r.Object,
 		Part:          r.Part,
 		Group:         r.Group,
+		GroupUnknown:  r.GroupUnknown,
 		SizeKB:        r.SizeKB * cmp.Or(g.cfg.SizeScale, 1),
 		Deadline:      g.DirectorTime(r.Deadline),
 		Retry:         r.Retry,
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -123,6 +123,7 @@
 	if p != nil {
 		return nil, p
 	}
+	r.GroupUnknown = !grant.CoversQuery // the client may have named another group than was signed
 	r.Retry = IsRetry(c.Header)
 	if p := checkMethod(c, class); p != nil {
 		return nil, p
--- a/purge/purge.go
+++ b/purge/purge.go
@@ -25,9 +25,11 @@
 	return &Registry{settleTime: settleTime, latest: map[string]time.Duration{}}
 }
 
-// GroupName returns the name under which the purge of a group is recorded. It starts with a space,
-// which no object's name contains.
-func GroupName(number int) string { return " " + strconv.Itoa(number) }
+// groupNamePrefix begins the names of groups. No object's name contains it.
+const groupNamePrefix = ' '
+
+// GroupName returns the name under which the purge of a group is recorded.
+func GroupName(number int) string { return string(groupNamePrefix) + strconv.Itoa(number) }
 
 // Record records a purge, made at the time at, of an object or, if object is empty, of a group. It
 // reports whether the purge is new: neither settled nor older than, or as old as, the known one.
@@ -64,6 +66,18 @@
 	return at, ok && !r.settled(now, at)
 }
 
+// LatestOfAnyGroup is Latest for an object whose group is not known: it takes the latest purge of any group for that of the object's.
+func (r *Registry) LatestOfAnyGroup(now time.Duration, object string) (at time.Duration, ok bool) {
+	at, ok = r.latest[object]
+	for name, purgedAt := range r.latest {
+		isGroup := name[0] == groupNamePrefix
+		if isGroup && (!ok || purgedAt > at) {
+			at, ok = purgedAt, true
+		}
+	}
+	return at, ok && !r.settled(now, at)
+}
+
 // All iterates over the names and purge times, sorted by name.
 func (r *Registry) All() iter.Seq2[string, time.Duration] {
 	return func(yield func(string, time.Duration) bool) {
--- a/routing/events.go
+++ b/routing/events.go
@@ -51,6 +51,7 @@
 	Object        string
 	Part          int           // part of the object
 	Group         int           // group by which the object may be purged
+	GroupUnknown  bool          // Group is not known to be that of the object, which any group's purge may then concern
 	SizeKB        float64       // of the answer; 0: unknown
 	Deadline      time.Duration // time on the director's clock
 	Write         bool
--- a/routing/freshness.go
+++ b/routing/freshness.go
@@ -5,7 +5,7 @@
 // maxAge returns the maximum age that excludes copies from before the latest purge of the object; 0
 // if no purge applies. It never exceeds the class's FreshFor, if that is set.
 func (d *Director) maxAge(r *request) time.Duration {
-	purgedAt, purged := d.purged.Latest(d.now, r.Object, r.Group)
+	purgedAt, purged := d.latestPurge(r)
 	if !purged {
 		return 0
 	}
@@ -18,11 +18,19 @@
 	return age
 }
 
+// latestPurge returns the time of the latest purge that may concern the object; false if there is none.
+func (d *Director) latestPurge(r *request) (at time.Duration, ok bool) {
+	if r.GroupUnknown {
+		return d.purged.LatestOfAnyGroup(d.now, r.Object)
+	}
+	return d.purged.Latest(d.now, r.Object, r.Group)
+}
+
 // listedCopyOutdated reports whether the copy at the listed cache can no longer be current. An
 // expected hit is not counted as a fill; without this check the fill sources would get uncounted
 // fills when the copies of many objects are purged at once.
 func (d *Director) listedCopyOutdated(r *request) bool {
-	purgedAt, purged := d.purged.Latest(d.now, r.Object, r.Group)
+	purgedAt, purged := d.latestPurge(r)
 	return copyOutdated(d.now, r.entry.copySeenAt, purgedAt, purged, r.class.FreshFor)
 }
 
--- a/signedurl/edgeauth.go
+++ b/signedurl/edgeauth.go
@@ -13,8 +13,32 @@
 // edgeAuthFields are the names of the fields that the signed part of an edge-auth token may contain.
 var edgeAuthFields = map[string]bool{"st": true, "exp": true, "acl": true, "id": true, "data": true}
 
-// verifyEdgeAuth verifies an edge-auth token for a path, which excludes the query.
-func (v *Verifier) verifyEdgeAuth(path, token string, now time.Time) (Grant, error) {
+// queryDigestPrefix begins the field data of a token that covers the query. Tokens with other data, as other signers may issue
+// them, do not.
+const queryDigestPrefix = "q-"
+
+// queryDigestBytes is the length of the digest in the token, before it is encoded in hex.
+const queryDigestBytes = 16
+
+// queryDigest returns the field data of a token that covers a query. The query excludes the token and its question mark.
+func queryDigest(query string) string {
+	sum := sha256.Sum256([]byte(query))
+	return queryDigestPrefix + hex.EncodeToString(sum[:queryDigestBytes])
+}
+
+// coversQuery reports whether the field data of a token holds a digest of a query. It returns an error if that is another query's.
+func coversQuery(data, query string) (bool, error) {
+	if len(data) != len(queryDigestPrefix)+hex.EncodedLen(queryDigestBytes) || !strings.HasPrefix(data, queryDigestPrefix) {
+		return false, nil
+	}
+	if data != queryDigest(query) {
+		return false, reject(URIMismatch, "the query is not the one that was signed")
+	}
+	return true, nil
+}
+
+// verifyEdgeAuth verifies an edge-auth token for a path and the query behind it.
+func (v *Verifier) verifyEdgeAuth(path, query, token string, now time.Time) (Grant, error) {
 	// The MAC must be last, since a field after it would not be signed.
 	body, mac, ok := strings.Cut(token, "~hmac=")
 	if !ok {
@@ -35,6 +59,9 @@
 	if g.Expiry, err = v.checkEdgeAuthTimes(fields, now); err != nil {
 		return Grant{}, err
 	}
+	if g.CoversQuery, err = coversQuery(fields["data"], query); err != nil {
+		return Grant{}, err
+	}
 	for acl := range strings.SplitSeq(fields["acl"], "!") {
 		if acl != "" && matchesAccessList(acl, path) {
 			return g, nil
@@ -132,9 +159,9 @@
 	return strings.Trim(pattern[p:], "*") == ""
 }
 
-// signEdgeAuth returns an edge-auth token for an order. Without a pattern the token is for the path of the target.
+// signEdgeAuth returns an edge-auth token for an order. Without a pattern the token is for the path and the query of the target.
 func (i *Issuer) signEdgeAuth(o Order) (string, error) {
-	path, _, _ := strings.Cut(o.Target, "?")
+	path, query, _ := strings.Cut(o.Target, "?")
 	acl := o.Pattern
 	if acl == "" {
 		acl = path
@@ -149,5 +176,8 @@
 	if o.Subject != "" {
 		body += "~id=" + o.Subject
 	}
+	if o.Pattern == "" {
+		body += "~data=" + queryDigest(query)
+	}
 	return body + "~hmac=" + hex.EncodeToString(edgeAuthMAC(i.key.Secret, body)), nil
 }
--- a/signedurl/issuer.go
+++ b/signedurl/issuer.go
@@ -33,8 +33,8 @@
 type Order struct {
 	Target string // path and query, to which the token is added
 	// Pattern extends the token to other URIs. For URI signing it is a POSIX regular expression that the whole URI must match
-	// (with Config.Base, without the token). For edge-auth it is an access list of paths, such as /a/*. Empty: the token is for
-	// Target only; the query is not part of an edge-auth token.
+	// (with Config.Base, without the token). For edge-auth it is an access list of paths, such as /a/*, and any query is
+	// allowed. Empty: the token is for Target only.
 	Pattern   string
 	Subject   string    // recorded in the token, as sub or id; empty: none
 	NotBefore time.Time // start of the token's validity, in whole seconds; zero: none
--- a/signedurl/jwt.go
+++ b/signedurl/jwt.go
@@ -95,7 +95,8 @@
 
 // newJWTGrant returns the grant for verified claims.
 func newJWTGrant(keyID string, claims jwt.MapClaims) Grant {
-	g := Grant{Form: URISigning, KeyID: keyID}
+	container, _ := claims["cdniuc"].(string)
+	g := Grant{Form: URISigning, KeyID: keyID, CoversQuery: strings.HasPrefix(container, "hash:")}
 	g.Subject, _ = claims["sub"].(string)
 	if at, err := claims.GetExpirationTime(); err == nil && at != nil {
 		g.Expiry = at.Time
--- a/signedurl/signedurl.go
+++ b/signedurl/signedurl.go
@@ -2,7 +2,8 @@
 //
 //   - URI Signing (RFC 9246): a signed JWT in the query parameter or cookie URISigningPackage. The kid selects the key, and
 //     each key is pinned to one algorithm;
-//   - edge-auth: the fields st, exp and acl with an HMAC, st~exp~acl~hmac, in the query parameter or cookie hdnts.
+//   - edge-auth: the fields st, exp and acl with an HMAC, st~exp~acl~hmac, in the query parameter or cookie hdnts. The field
+//     data may hold a digest of the query, which is then part of what is signed.
 //
 // A URI is verified exactly as it was sent, without decoding or normalisation. A URI that servers could interpret in
 // different ways is rejected; see [CheckTarget]. A [Verifier] and an [Issuer] are immutable and safe for concurrent use.
@@ -26,6 +27,9 @@
 	Subject string    // claim sub or field id; empty: the token has none
 	Expiry  time.Time // as in the token, without the leeway
 	Renewal Renewal
+	// CoversQuery is set if the token is for this query alone. Otherwise the query may have been altered after the URL was
+	// signed: the token is for a pattern, or an edge-auth token without a digest of the query.
+	CoversQuery bool
 }
 
 // Renewal tells whether each answer is to carry a renewed token (claims cdniets and cdnistt of RFC 9246).
@@ -59,6 +63,6 @@
 	if found.form == URISigning {
 		return v.verifyJWT(v.cfg.Base+bare, found.token, now)
 	}
-	path, _, _ := strings.Cut(bare, "?")
-	return v.verifyEdgeAuth(path, found.token, now)
+	path, query, _ := strings.Cut(bare, "?")
+	return v.verifyEdgeAuth(path, query, found.token, now)
 }
