transport: a slot is taken from a connection that its peer has closed, before one that is in use

Cause: when no slot is free, the connection with one message that has been quiet for longest goes, even within 0.2 s. The crowd's are quiet for less, though their peers have closed many of them; the poller only has not noticed. Change: EvictIdle first closes a connection that the kernel knows to be closed by its peer, which costs nobody anything.

--- a/internal/net/transport/tracker.go
+++ b/internal/net/transport/tracker.go
@@ -39,6 +39,7 @@
 	errNoMessage  = errors.New("no message received in time")
 	errIdle       = errors.New("idle")
 	errSlotNeeded = errors.New("idle connection evicted: its slot is needed")
+	errPeerGone   = errors.New("closed by the peer, and its slot is needed")
 )
 
 // ConnTracker tracks the connections of one front and closes those that waste a slot: clients that never send a
@@ -142,8 +143,25 @@
 	}
 }
 
-// EvictIdle closes a connection that is idle, or has an incomplete message and no open request, to free its slot for a new one.
-func (t *ConnTracker) EvictIdle(now time.Time) { t.evictOne(now, true) }
+// EvictIdle frees a slot for a new connection. It closes a connection that its peer has closed, which the poller has not noticed yet, or
+// else one that is idle, or has an incomplete message and no open request.
+func (t *ConnTracker) EvictIdle(now time.Time) {
+	if !t.closeGone() {
+		t.evictOne(now, true)
+	}
+}
+
+// closeGone closes a connection that its peer has closed, and reports whether there was one.
+func (t *ConnTracker) closeGone() bool {
+	for n := range t.all {
+		if n.Conn.PeerClosed() {
+			t.Remove(n)
+			n.Conn.Close(errPeerGone)
+			return true
+		}
+	}
+	return false
+}
 
 // evictOne closes the connection with the highest evictionScore, and reports whether there was one. The search goes over all
 // connections: more than one is rarely closed at once, and sorting all connections for each new one took a fifth of the
