transport: a new connection is not closed for an event of an old one with its descriptor

Cause: nbio finds the connection of an event by the number of the descriptor. Change: a descriptor closed by anyone but the poller is stale until the poller has handled what it had fetched; a new connection takes another number, or waits.

--- a/internal/net/transport/conn.go
+++ b/internal/net/transport/conn.go
@@ -117,4 +117,7 @@
 func (c *Conn) UnsentBytes() int64 { return c.unwritten.Load() }
 
 // Close closes the connection at once. OnClosed is called with err unless it has been called before.
-func (c *Conn) Close(err error) { _ = c.nc.CloseWithError(err) } // fails if the connection is closed already
+func (c *Conn) Close(err error) { c.engine.closeStale(c.nc, err) }
+
+// closeOnPoller is Close for the poller goroutine while it handles an event of the connection.
+func (c *Conn) closeOnPoller(err error) { _ = c.nc.CloseWithError(err) } // fails if the connection is closed already
--- a/internal/net/transport/listener.go
+++ b/internal/net/transport/listener.go
@@ -10,7 +10,6 @@
 	"syscall"
 	"time"
 
-	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
 
 	"larchusher/internal/logfields"
@@ -155,7 +154,7 @@
 // serve registers a connection, which already has a slot, with a new handler and passes it the chunks.
 func (l *Listener) serve(conn net.Conn, chunks []ReceivedChunk) {
 	limitKernelUnsent(conn)
-	nc, err := nbio.NBConn(conn)
+	nc, err := l.engine.takeOver(conn)
 	if err != nil {
 		_ = conn.Close()
 		l.slots.release()
--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -80,6 +80,7 @@
 	inherited      map[string]*os.File // listening sockets of the predecessor process, by address
 	acceptFailures acceptFailures
 	poller         pollerDescriptor
+	stale          staleDescriptors
 	buffer         []byte     // read buffer, used by the poller goroutine only
 	connMu         sync.Mutex // orders the setup of a Conn before its first use by the poller: nbio passes connections through the kernel only
 
@@ -208,7 +209,7 @@
 		case errors.Is(err, syscall.EAGAIN):
 			return
 		case err != nil:
-			c.Close(err)
+			c.closeOnPoller(err)
 			return
 		case n < len(buffer): // nothing is left to read; nbio closes the connection at the end of the stream
 			return
@@ -237,7 +238,7 @@
 func (c *Conn) discard(n int) bool {
 	c.discardedBytes += n
 	if c.discardedBytes > maxDiscardedBytes {
-		c.Close(errTooMuchAfterEnd)
+		c.closeOnPoller(errTooMuchAfterEnd)
 		return false
 	}
 	return true
@@ -287,7 +288,7 @@
 			failed(err)
 			return
 		}
-		nc, err := nbio.NBConn(conn)
+		nc, err := e.takeOver(conn)
 		if err != nil {
 			_ = conn.Close() // nothing has been written to it
 			failed(fmt.Errorf("registering the connection to %s with the poller library: %w", addr, err))
--- a/internal/net/transport/write.go
+++ b/internal/net/transport/write.go
@@ -64,15 +64,14 @@
 		for _, p := range buffers {
 			joined = append(joined, p...)
 		}
-		_, err := c.nc.Write(joined)
-		return err
+		return c.engine.write(c.nc, joined)
 	}
 	// One by one: nbio's Writev loses the buffers after the one at which the socket's send buffer becomes full.
 	for _, p := range buffers {
 		if len(p) == 0 {
 			continue
 		}
-		if _, err := c.nc.Write(p); err != nil {
+		if err := c.engine.write(c.nc, p); err != nil {
 			return err
 		}
 	}
