overload: a light client of which nothing is read for a period is no new client

Cause: a client is light, and not shed, if it offered something in the period before, of 0.12 s. A round of the poller takes up to 0.13 s there, so that now and then nothing is read of it for a whole period; it counts as new then, and is shed like the crowd. Change: what a client has offered is spread over the periods since, for up to two quiet ones; in a longer pause a burst of a client that is like all others would seem light (TestAlikeBurstsAreShedAlike fails with four more). Result: TestLightClientIsNotShedAfterQuietPeriods failed before (15 and 10 requests shed). Crowds that read no objects fail for another reason.

--- a/overload/clientload.go
+++ b/overload/clientload.go
@@ -15,6 +15,9 @@
 	bodyBytesPerCost = 4 << 10
 	// ticksPerPeriod is the length of a period in which the load of clients is counted, in ticks.
 	ticksPerPeriod = 6
+	// maxQuietPeriods is for how many periods a client may offer nothing without counting as new. In a longer pause, the burst of a client
+	// like all others would seem light when it is spread over the pause.
+	maxQuietPeriods = 1/lightShare - 2
 )
 
 // RequestCost returns the cost of reading a request with a body of some bytes, in requests without one.
@@ -25,13 +28,23 @@
 type ClientLoad struct {
 	period   uint32 // in which offered counts; 0: none
 	offered  uint32
-	previous uint32 // offered in the period before; 0: nothing
+	previous uint32 // offered per period from the one before in which it offered any until now; 0: the client counts as new
 	light    bool   // at the latest request
 }
 
 // Light reports whether the client offered much less than others when its latest request was recorded.
 func (c *ClientLoad) Light() bool { return c.light }
 
+// startPeriod begins to count what the client offers in a period.
+func (c *ClientLoad) startPeriod(period uint32) {
+	passed := period - c.period
+	c.previous = 0
+	if passed > 0 && passed <= 1+maxQuietPeriods {
+		c.previous = (c.offered + passed - 1) / passed // rounded up: a client that has offered anything is not new
+	}
+	c.period, c.offered = period, 0
+}
+
 // loadPeriods counts the load of all clients, period by period. It is safe for concurrent use, but for nextTick.
 type loadPeriods struct {
 	period  atomic.Uint32 // number of the current one; 0: before the first
@@ -58,18 +71,14 @@
 	p.period.Add(1)
 }
 
-// record counts a request of a client by its cost, and reports whether the client is light: it has offered requests in the previous
-// period, and few in each of the two. A new client is not.
+// record counts a request of a client by its cost, and reports whether the client is light: it has offered requests lately, and few
+// then and in the current period. A new client is not.
 func (p *loadPeriods) record(client *ClientLoad, cost uint32) (light bool) {
 	if client == nil {
 		return false
 	}
 	if period := p.period.Load(); client.period != period || client.offered == 0 {
-		client.previous = 0
-		if client.period+1 == period {
-			client.previous = client.offered
-		}
-		client.period, client.offered = period, 0
+		client.startPeriod(period)
 		p.clients.Add(1)
 	}
 	client.offered += cost
