membudget: a light client's request is admitted a little beyond what all kinds may take

Cause: open requests are refused once all kinds together take 0.8 of the limit. Answers that nobody reads, answers under way and the state of connections take more now and then (6,355 of 7,691 kB at a refusal), and the part kept for holders that are favored is no use then. Change: a favored holder may hold its 16 kB up to 0.88 of the limit: below the 0.9 at which answers find no memory. Result: TestFavoredHolderFindsMemoryBesideUnreadAnswers failed before.

--- a/membudget/holder.go
+++ b/membudget/holder.go
@@ -10,6 +10,9 @@
 	smallHolding = 2 << 10
 	// favoredHolding is the same for a holder that is favored, since it does not cause the shortage.
 	favoredHolding = 16 << 10
+	// favoredBound is the share of the limit up to which all kinds together may grow by what a favored holder holds. It is below that of
+	// EndpointAnswers, so that what is admitted can be answered.
+	favoredBound = 0.88
 	// smallReserve is the share of a kind's limit that is kept for holders of little.
 	smallReserve = 0.3
 )
@@ -28,11 +31,8 @@
 // Reserve adds n bytes to what the holder holds, unless that would exceed its part of the free memory. It reports whether
 // they were added, and counts a refusal. favored holders have a larger part of what is kept for holders of little.
 func (h *Holder) Reserve(n int64, favored bool) bool {
-	small := int64(smallHolding)
-	if favored {
-		small = favoredHolding
-	}
-	if !h.mayHold(h.held.Load(), n, small) {
+	held := h.held.Load()
+	if !(favored && h.mayHoldFavored(held, n)) && !h.mayHold(held, n) {
 		h.budget.Refuse(h.kind)
 		return false
 	}
@@ -40,9 +40,13 @@
 	return true
 }
 
-// mayHold reports whether a holder that holds a number of bytes may hold n more, if it may have small bytes in use when little is
-// left.
-func (h *Holder) mayHold(held, n, small int64) bool {
+// mayHoldFavored reports whether a favored holder that holds a number of bytes may hold n more, whatever others hold.
+func (h *Holder) mayHoldFavored(held, n int64) bool {
+	return held+n <= favoredHolding && n <= h.budget.freeUpTo(h.kind, favoredBound)
+}
+
+// mayHold reports whether a holder that holds a number of bytes may hold n more.
+func (h *Holder) mayHold(held, n int64) bool {
 	if h.budget == nil {
 		return true
 	}
@@ -52,7 +56,7 @@
 	switch {
 	case n > free:
 		return false
-	case held+n <= max(small, freeForAll/holderShare):
+	case held+n <= max(smallHolding, freeForAll/holderShare):
 		return true
 	}
 	return held == 0 && n <= freeForAll/2 // one large piece, such as the body of a request
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -79,14 +79,16 @@
 }
 
 // Free returns by how many bytes a kind may grow now; 0 or less: it may not grow.
-func (b *Budget) Free(k Kind) int64 {
+func (b *Budget) Free(k Kind) int64 { return b.freeUpTo(k, bounds[k].all) }
+
+// freeUpTo is Free for a share of the limit up to which all kinds together may grow.
+func (b *Budget) freeUpTo(k Kind, all float64) int64 {
 	if b == nil {
 		return math.MaxInt64
 	}
 	limit := float64(b.limit.Load())
 	own := int64(bounds[k].own*limit) - b.kinds[k].used.Load()
-	all := int64(bounds[k].all*limit) - b.total.Load()
-	return min(own, all)
+	return min(own, int64(all*limit)-b.total.Load())
 }
 
 // shortShare is the share of a kind's limit that is free when it counts as short: what is on its way may take the rest.
--- a/membudget/membudget_test.go
+++ b/membudget/membudget_test.go
@@ -51,6 +51,41 @@
 	})
 }
 
+// Guards against refusing a client that does not cause the shortage, beside many that do not read their answers. Beyond favoredBound
+// its answers would find no memory either.
+func TestFavoredHolderFindsMemoryBesideUnreadAnswers(t *testing.T) {
+	const limit, request = 8 << 20, 1 << 10
+	fill := func(used float64) *Budget {
+		b := New(limit)
+		b.Add(Writes, int64(used*limit))
+		return b
+	}
+	for _, test := range []struct {
+		used    float64 // share of the limit that unread answers take
+		favored bool
+		want    int64 // requests that may be open
+	}{
+		{used: 0.82, favored: true, want: favoredHolding / request},
+		{used: 0.82, favored: false, want: 0},
+		{used: 0.87, favored: true, want: favoredHolding / request},
+		{used: 0.89, favored: true, want: 0},
+	} {
+		holder := fill(test.used).NewHolder(OpenRequests)
+		open := int64(0)
+		for holder.Reserve(request, test.favored) {
+			open++
+		}
+		if open != test.want {
+			t.Errorf("with %v of the limit in use a holder, favored %v, may hold %d requests, want %d", test.used, test.favored, open, test.want)
+		}
+	}
+	own := New(limit)
+	own.Add(OpenRequests, own.Max(OpenRequests))
+	if own.NewHolder(OpenRequests).Reserve(request, true) {
+		t.Error("a favored holder was admitted beyond the limit of its own kind")
+	}
+}
+
 func TestNilBudgetHasNoLimit(t *testing.T) {
 	var b *Budget
 	h := b.NewHolder(OpenRequests)
