resp: the answer to a light client's request is kept when answers for others take the memory

Cause: an answer from a store is dropped, and its request refused, when answers for all clients take a quarter of the memory. The refusals of light clients before that, for load and for requests, know who causes the shortage; this one did not. Change: the connection knows which of its requests are of light clients, and their answers may exceed the bound by 0.08 of the limit. Open requests of light clients have the same margin, in place of a bound of their own. Result: TestAnswerForLightClientIsKept failed before.

--- a/internal/net/resp/conn.go
+++ b/internal/net/resp/conn.go
@@ -24,6 +24,7 @@
 	parser        parser       // used by the poller only
 	reservedBytes atomic.Int64 // memory reserved for the strings of an incomplete answer
 	closed        atomic.Bool  // the socket is closed
+	favored       favoredIDs   // of the requests in flight whose clients do not cause a shortage of memory
 
 	// The fields below are used by the loop only.
 	tc           *transport.Conn             // nil while connecting
--- a/internal/net/resp/memory.go
+++ b/internal/net/resp/memory.go
@@ -21,10 +21,12 @@
 	return usualReadBytes
 }
 
-// reserve reserves n bytes for a string of an answer, and returns false if Config.Budget has not enough memory. Answers for slow
-// clients may arrive all at once, and be longer than expected. It runs on the poller goroutine.
-func (c *conn) reserve(n int) bool {
-	if !c.pool.cfg.Budget.Reserve(membudget.EndpointAnswers, int64(n)) {
+// reserve reserves n bytes for a string of the answer to the request with an ID, and returns false if Config.Budget has not enough
+// memory. Answers for slow clients may arrive all at once, and be longer than expected. It runs on the poller goroutine.
+func (c *conn) reserve(id []byte, n int) bool {
+	budget := c.pool.cfg.Budget
+	favored := int64(n) > budget.Free(membudget.EndpointAnswers) && c.favored.contains(id)
+	if !budget.Reserve(membudget.EndpointAnswers, int64(n), favored) {
 		return false
 	}
 	c.reservedBytes.Add(int64(n))
--- a/internal/net/resp/parser.go
+++ b/internal/net/resp/parser.go
@@ -30,7 +30,8 @@
 
 // parser splits a byte stream into arrays of bulk strings. The zero value is ready for use.
 type parser struct {
-	reserve func(n int) bool // reports whether n bytes of memory are available; nil: always
+	// reserve reports whether n bytes of memory are available for a string of the array that begins with a string first; nil: always.
+	reserve func(first []byte, n int) bool
 
 	skipBytes   int      // bytes left to skip, of a string for which there was no memory
 	line        []byte   // incomplete line
@@ -134,7 +135,7 @@
 		p.stringsLeft, p.args = int(n), make([][]byte, 0, n)
 		return nil
 	}
-	if p.reserve != nil && n > maxUnreservedBytes && !p.reserve(int(n)) {
+	if n > maxUnreservedBytes && !p.hasMemory(int(n)) {
 		p.skipBytes = int(n) + 2
 		return nil
 	}
@@ -142,6 +143,18 @@
 	return nil
 }
 
+// hasMemory reports whether n bytes of memory are available for the next string of the current array.
+func (p *parser) hasMemory(n int) bool {
+	if p.reserve == nil {
+		return true
+	}
+	var first []byte
+	if len(p.args) > 0 {
+		first = p.args[0]
+	}
+	return p.reserve(first, n)
+}
+
 // appendCommand appends args as an array of bulk strings.
 func appendCommand(b []byte, args ...string) []byte {
 	b = append(strconv.AppendInt(append(b, '*'), int64(len(args)), 10), "\r\n"...)
--- a/internal/net/resp/parser_test.go
+++ b/internal/net/resp/parser_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
+	"larchusher/gateway"
 	"larchusher/membudget"
 )
 
@@ -37,7 +39,7 @@
 			stream, want = appendCommand(stream, args...), append(want, args)
 		}
 		memoryAvailable := rapid.Bool().Draw(t, "room")
-		p := parser{reserve: func(int) bool { return memoryAvailable }}
+		p := parser{reserve: func([]byte, int) bool { return memoryAvailable }}
 		n := 0
 		for len(stream) > 0 {
 			cut := rapid.IntRange(1, min(len(stream), 30000)).Draw(t, "cut")
@@ -89,3 +91,39 @@
 		t.Errorf("%d bytes are still reserved at the end, want 0", n)
 	}
 }
+
+// Guards against dropping the answer to a client that does not cause the shortage, when answers for others take the memory.
+func TestAnswerForLightClientIsKept(t *testing.T) {
+	ended := &recordingGateway{}
+	p := &Pool{cfg: Config{Budget: membudget.New(400_000)}, Gateway: ended, loop: gateway.NewLoop()} // of which answers may take 100,000 bytes
+	if !p.cfg.Budget.Reserve(membudget.EndpointAnswers, 60_000, false) {
+		t.Fatal("60,000 bytes were refused")
+	}
+	c := &conn{pool: p, inFlight: map[string]*gateway.Attempt{}, canceled: map[string]time.Time{}}
+	c.parser.reserve = c.reserve
+	c.favored.add("light")
+	receive := func(id string) (dropped bool) {
+		t.Helper()
+		c.inFlight[id] = &gateway.Attempt{Request: &gateway.Request{ID: id}}
+		err := c.parser.feed(appendCommand(nil, id, "DONE", "-", strings.Repeat("x", 60_000)), func(args [][]byte) error {
+			return c.handleAnswer(args, time.Time{})
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		res := ended.results[len(ended.results)-1]
+		if res.ReleaseBody != nil {
+			res.ReleaseBody()
+		}
+		return res.BodyDropped
+	}
+	if !receive("other") {
+		t.Error("an answer for a client that is not light was kept beyond the memory for answers")
+	}
+	if receive("light") {
+		t.Error("the answer for the light client was dropped")
+	}
+	if !receive("light") {
+		t.Error("an answer was kept beyond the memory for answers for an ID whose request has ended")
+	}
+}
--- a/internal/net/resp/request.go
+++ b/internal/net/resp/request.go
@@ -19,6 +19,9 @@
 	}
 	c.lastUsed = now
 	c.inFlight[a.Request.ID] = a
+	if a.Request.LightClient {
+		c.favored.add(a.Request.ID)
+	}
 	c.pool.Counters.Written++
 	r := a.Request
 	head := append(make([]byte, 0, 256), "*4\r\n"...)
--- a/membudget/holder.go
+++ b/membudget/holder.go
@@ -10,9 +10,6 @@
 	smallHolding = 2 << 10
 	// favoredHolding is the same for a holder that is favored, since it does not cause the shortage.
 	favoredHolding = 16 << 10
-	// favoredBound is the share of the limit up to which all kinds together may grow by what a favored holder holds. It is below that of
-	// EndpointAnswers, so that what is admitted can be answered.
-	favoredBound = 0.88
 	// smallReserve is the share of a kind's limit that is kept for holders of little.
 	smallReserve = 0.3
 )
@@ -42,7 +39,7 @@
 
 // mayHoldFavored reports whether a favored holder that holds a number of bytes may hold n more, whatever others hold.
 func (h *Holder) mayHoldFavored(held, n int64) bool {
-	return held+n <= favoredHolding && n <= h.budget.freeUpTo(h.kind, favoredBound)
+	return held+n <= favoredHolding && n <= h.budget.freeForFavored(h.kind)
 }
 
 // mayHold reports whether a holder that holds a number of bytes may hold n more.
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -79,16 +79,14 @@
 }
 
 // Free returns by how many bytes a kind may grow now; 0 or less: it may not grow.
-func (b *Budget) Free(k Kind) int64 { return b.freeUpTo(k, bounds[k].all) }
-
-// freeUpTo is Free for a share of the limit up to which all kinds together may grow.
-func (b *Budget) freeUpTo(k Kind, all float64) int64 {
+func (b *Budget) Free(k Kind) int64 {
 	if b == nil {
 		return math.MaxInt64
 	}
 	limit := float64(b.limit.Load())
 	own := int64(bounds[k].own*limit) - b.kinds[k].used.Load()
-	return min(own, int64(all*limit)-b.total.Load())
+	all := int64(bounds[k].all*limit) - b.total.Load()
+	return min(own, all)
 }
 
 // shortShare is the share of a kind's limit that is free when it counts as short: what is on its way may take the rest.
@@ -99,13 +97,29 @@
 	return b != nil && float64(b.Free(k)) < shortShare*float64(b.Max(k))
 }
 
+// favoredMargin is the share of the limit by which memory for a favored party may exceed the bounds of its kind: it does not cause the
+// shortage.
+const favoredMargin = 0.08
+
+// freeForFavored is Free for a favored party.
+func (b *Budget) freeForFavored(k Kind) int64 {
+	if b == nil {
+		return math.MaxInt64
+	}
+	return b.Free(k) + int64(favoredMargin*float64(b.limit.Load()))
+}
+
 // Reserve adds n bytes of a kind, unless that would exceed a limit. It reports whether they were added, and counts a
-// refusal.
-func (b *Budget) Reserve(k Kind, n int64) bool {
+// refusal. favored memory may exceed the limits of its kind a little.
+func (b *Budget) Reserve(k Kind, n int64, favored bool) bool {
 	if b == nil {
 		return true
 	}
-	if n > b.Free(k) {
+	free := b.Free(k)
+	if favored {
+		free = b.freeForFavored(k)
+	}
+	if n > free {
 		b.kinds[k].refused.Add(1)
 		return false
 	}
--- a/membudget/membudget_test.go
+++ b/membudget/membudget_test.go
@@ -9,16 +9,16 @@
 func TestKindsAreRefusedInOrder(t *testing.T) {
 	const limit = 1000
 	b := New(limit)
-	if b.Reserve(PartialInput, 501) || !b.Reserve(PartialInput, 500) {
+	if b.Reserve(PartialInput, 501, false) || !b.Reserve(PartialInput, 500, false) {
 		t.Error("partial input could take more, or less, than half of the limit")
 	}
-	if !b.Reserve(OpenRequests, 300) || b.Reserve(OpenRequests, 1) {
+	if !b.Reserve(OpenRequests, 300, false) || b.Reserve(OpenRequests, 1, false) {
 		t.Error("open requests were refused below 0.8 of the limit for all kinds, or admitted beyond")
 	}
-	if b.Reserve(UnhandledInput, 1) {
+	if b.Reserve(UnhandledInput, 1, false) {
 		t.Error("unhandled input was admitted beyond 0.75 of the limit for all kinds")
 	}
-	if !b.Reserve(EndpointAnswers, 100) || !b.Reserve(Writes, 100) {
+	if !b.Reserve(EndpointAnswers, 100, false) || !b.Reserve(Writes, 100, false) {
 		t.Error("answers to open requests were refused")
 	}
 	if got := b.Refused(PartialInput); got != 1 {
@@ -51,8 +51,8 @@
 	})
 }
 
-// Guards against refusing a client that does not cause the shortage, beside many that do not read their answers. Beyond favoredBound
-// its answers would find no memory either.
+// Guards against refusing a client that does not cause the shortage, beside many that do not read their answers. What it
+// may hold is bounded, so that answers find memory.
 func TestFavoredHolderFindsMemoryBesideUnreadAnswers(t *testing.T) {
 	const limit, request = 8 << 20, 1 << 10
 	fill := func(used float64) *Budget {
@@ -80,16 +80,16 @@
 		}
 	}
 	own := New(limit)
-	own.Add(OpenRequests, own.Max(OpenRequests))
+	own.Add(OpenRequests, own.freeForFavored(OpenRequests))
 	if own.NewHolder(OpenRequests).Reserve(request, true) {
-		t.Error("a favored holder was admitted beyond the limit of its own kind")
+		t.Error("a favored holder was admitted beyond the limit of its own kind and the margin")
 	}
 }
 
 func TestNilBudgetHasNoLimit(t *testing.T) {
 	var b *Budget
 	h := b.NewHolder(OpenRequests)
-	if !b.Reserve(Writes, 1<<40) || !h.Reserve(1<<40, false) {
+	if !b.Reserve(Writes, 1<<40, false) || !h.Reserve(1<<40, false) {
 		t.Error("a nil budget refused memory")
 	}
 	h.Release(1 << 40)
--- a/membudget/piece.go
+++ b/membudget/piece.go
@@ -24,7 +24,7 @@
 		return true
 	}
 	grown := n - p.bytes
-	if grown > 0 && !p.budget.Reserve(p.kind, grown) {
+	if grown > 0 && !p.budget.Reserve(p.kind, grown, false) {
 		return false
 	}
 	if grown < 0 {
