--- a/membudget/holder.go
+++ b/membudget/holder.go
@@ -9,7 +9,7 @@
 	// smallHolding is what a holder may have in use, in bytes, when only smallReserve is left.
 	smallHolding = 2 << 10
 	// favoredHolding is the same for a holder that is favored, since it does not cause the shortage.
-	favoredHolding = 16 << 10
+	favoredHolding = 32 << 10
 	// smallReserve is the share of a kind's limit that is kept for holders of little.
 	smallReserve = 0.3
 )
@@ -29,12 +29,12 @@
 // they were added, and counts a refusal. favored holders have a larger part of what is kept for holders of little.
 func (h *Holder) Reserve(n int64, favored bool) bool {
 	held := h.held.Load()
-	if !(favored && h.mayHoldFavored(held, n)) && !h.mayHold(held, n) {
-		h.budget.Refuse(h.kind)
-		return false
+	if favored && h.mayHoldFavored(held, n) || h.mayHold(held, n) {
+		h.Add(n)
+		return true
 	}
-	h.Add(n)
-	return true
+	h.budget.Refuse(h.kind)
+	return false
 }
 
 // mayHoldFavored reports whether a favored holder that holds a number of bytes may hold n more, whatever others hold.
