--- a/test/pipeline_test.go
+++ b/test/pipeline_test.go
@@ -197,7 +197,12 @@
 // Guards against a connection that is closed, with whole requests unanswered, since more of them came than are kept: the front must stop reading
 // instead.
 func TestManyPipelinedRequestsAreAnswered(t *testing.T) {
-	const parts = 2000 // some 400 bytes each
+	const (
+		parts        = 2000             // some 400 bytes each
+		mayWait      = 16 << 10         // bytes of requests that may wait behind an open one
+		mayRead      = mayWait + 64<<10 // and those of the read with which they are too many
+		otherTraffic = 16 << 10         // bytes of the journal service, the console and the stores
+	)
 	r, addr := signedRig(t, "")
 	held, release := r.holdFirstPart()
 	w := newHTTPConn(t, addr)
@@ -208,6 +213,9 @@
 	}()
 	receive(t, held)
 	time.Sleep(200 * time.Millisecond)
+	if read := r.counter("bytes_in"); read > mayRead+otherTraffic {
+		t.Errorf("%v bytes were read while a request was open, want at most %d", read, mayRead)
+	}
 	release()
 	if statuses, err := w.readStatuses(parts); err != nil {
 		t.Errorf("%d answers, error %v; want %d", len(statuses), err, parts)
