httpapi: a POST that has not run by its deadline is refused with 503

Cause: an expired answer became 504 whether a retry is harmless or not. Change: in classes that are not safe to repeat, an expired answer after which a retry is harmless is given as a refusal, with its Retry-After. GET and HEAD keep 504, as they may be repeated anyway. Result: TestUnwrittenPostIsRefusedAtItsDeadline failed before (504) and passes; the tests of keyed requests, of the library and of HEAD pass.

--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -253,7 +253,7 @@
 func (a *API) Respond(admitted *AdmittedRequest, ans gateway.Answer, now time.Time) Response {
 	var r Response
 	add := func(name, value string) { r.Header = append(r.Header, [2]string{name, value}) }
-	switch ans.Outcome {
+	switch a.outcome(admitted, ans) {
 	case gateway.OutcomeServed, gateway.OutcomeUnchanged:
 		r.Status = http.StatusOK
 		if ans.Outcome == gateway.OutcomeUnchanged {
@@ -287,6 +287,15 @@
 	return r
 }
 
+// outcome returns the outcome of an answer as the client is to see it. A request that may not be repeated freely and has not run by its
+// deadline is refused: after status 504 it may have run.
+func (a *API) outcome(admitted *AdmittedRequest, ans gateway.Answer) gateway.Outcome {
+	if ans.Outcome == gateway.OutcomeExpired && ans.Retryable && a.classes[admitted.Request.Class].Effect != routing.Idempotent {
+		return gateway.OutcomeRejected
+	}
+	return ans.Outcome
+}
+
 // renewalCookie returns the cookie with a renewed token if the grant asks for one; empty if not, or if the token
 // cannot be issued.
 func (a *API) renewalCookie(admitted *AdmittedRequest, now time.Time) string {
--- a/test/keyed_test.go
+++ b/test/keyed_test.go
@@ -99,6 +99,20 @@
 	return keyedAnswer{refused: status == http.StatusServiceUnavailable, text: fmt.Sprint(status, " ", body, " ", header)}
 }
 
+// Guards against status 504, after which a POST may have run, for one that was never written to a store: it must be refused.
+func TestUnwrittenPostIsRefusedAtItsDeadline(t *testing.T) {
+	_, addr := signedRig(t, "", func(r *rig) {
+		deadlines := strings.NewReplacer(`"aimMs":600,"hardLimitMs":3000,"effect":"by_key"`, `"aimMs":100,"hardLimitMs":200,"effect":"by_key"`)
+		r.config["settings"] = json.RawMessage(deadlines.Replace(testbed.Settings)) // less than connectTimeoutMs
+		for _, store := range r.stores {
+			store.Addr = newStalledStore(t).addr
+		}
+	})
+	if a := postOrder(t, addr); !a.refused {
+		t.Errorf("answer %s, want it refused", a.text)
+	}
+}
+
 // Guards against a keyed request that runs twice because the gateway refuses it ("trying again is harmless") although an attempt
 // of it may have run: behind its window, or within it with a Retry-After that ends behind it. What has not run must still be refused.
 func TestKeyedRequestIsRefusedOnlyIfItHasNotRun(t *testing.T) {
