multiset: one counting set in place of three

The pending cancels of a connection, its favored requests and the stale descriptors were each a map with counts, a lock and a size.

--- a/internal/net/msgpackrpc/batch.go
+++ b/internal/net/msgpackrpc/batch.go
@@ -112,7 +112,7 @@
 	if m.kind != typeRequest || m.isAlive() {
 		parsed := c.parseMessage(m, at)
 		if parsed.kind == cancelMessage {
-			c.pendingCancels.add(parsed.id)
+			c.pendingCancels.Add(parsed.id)
 		}
 		dst.add(tc, parsed, messageCost)
 		return
--- a/internal/net/msgpackrpc/buffering.go
+++ b/internal/net/msgpackrpc/buffering.go
@@ -147,7 +147,7 @@
 			break
 		}
 		if m.isCancel() {
-			c.pendingCancels.add(m.number)
+			c.pendingCancels.Add(m.number)
 			cancels = append(cancels, clientMessage{kind: cancelMessage, id: m.number})
 		}
 		c.limitWait(&m, at)
--- a/internal/net/msgpackrpc/conn.go
+++ b/internal/net/msgpackrpc/conn.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"larchusher/gateway"
+	"larchusher/internal/multiset"
 	"larchusher/internal/net/transport"
 	"larchusher/membudget"
 	"larchusher/overload"
@@ -33,8 +34,8 @@
 	shedUncounted   atomic.Int64 // shed requests that the loop has not counted yet
 	bufferedBytes   atomic.Int64 // bytes buffered for the successor process
 	bufferTimes     bufferTimes
-	migrationFailed atomic.Bool // the connection cannot migrate, so its input is handled here
-	pendingCancels  pendingCancels
+	migrationFailed atomic.Bool          // the connection cannot migrate, so its input is handled here
+	pendingCancels  multiset.Set[uint64] // IDs whose cancel messages the poller has read and the loop has not handled
 
 	// Used by the loop only.
 	tc        *transport.Conn
@@ -112,7 +113,7 @@
 func (c *conn) handleMessage(m clientMessage) {
 	switch m.kind {
 	case cancelMessage:
-		c.pendingCancels.remove(m.id)
+		c.pendingCancels.Remove(m.id)
 		if r := c.open[m.id]; r != nil {
 			delete(c.open, m.id)
 			c.front.gateway.Abandon(r)
@@ -164,7 +165,7 @@
 	}
 	r.Client = c.client
 	r.Answer = func(a gateway.Answer) { c.writeAnswer(m.id, a) }
-	r.ClientConnected = func() bool { return !c.tc.Closing() && !c.pendingCancels.contains(m.id) && !c.tc.PeerClosed() }
+	r.ClientConnected = func() bool { return !c.tc.Closing() && !c.pendingCancels.Contains(m.id) && !c.tc.PeerClosed() }
 	c.open[m.id] = r
 	c.front.gateway.Submit(r)
 }
--- a/internal/net/msgpackrpc/inbox.go
+++ b/internal/net/msgpackrpc/inbox.go
@@ -140,7 +140,7 @@
 // elsewhere.
 func (c *conn) discard(m clientMessage) {
 	if m.kind == cancelMessage {
-		c.pendingCancels.remove(m.id)
+		c.pendingCancels.Remove(m.id)
 	}
 	if m.request != nil {
 		m.request.ReleaseMemory()
--- a/internal/net/resp/answer.go
+++ b/internal/net/resp/answer.go
@@ -121,7 +121,7 @@
 // finish removes an attempt from those in flight.
 func (c *conn) finish(id string) {
 	delete(c.inFlight, id)
-	c.favored.remove(id)
+	c.favored.Remove(id)
 	c.lastUsed = c.pool.loop.Now()
 }
 
--- a/internal/net/resp/conn.go
+++ b/internal/net/resp/conn.go
@@ -12,6 +12,7 @@
 
 	"larchusher/gateway"
 	"larchusher/internal/logfields"
+	"larchusher/internal/multiset"
 	"larchusher/internal/net/transport"
 	"larchusher/routing"
 )
@@ -24,7 +25,9 @@
 	parser        parser       // used by the poller only
 	reservedBytes atomic.Int64 // memory reserved for the strings of an incomplete answer
 	closed        atomic.Bool  // the socket is closed
-	favored       favoredIDs   // of the requests in flight whose clients do not cause a shortage of memory
+	// favored has the IDs of the requests in flight whose clients do not cause a shortage of memory. Their answers are kept a little beyond
+	// the memory for answers.
+	favored multiset.Set[string]
 
 	// The fields below are used by the loop only.
 	tc           *transport.Conn             // nil while connecting
--- a/internal/net/resp/memory.go
+++ b/internal/net/resp/memory.go
@@ -25,7 +25,7 @@
 // memory. Answers for slow clients may arrive all at once, and be longer than expected. It runs on the poller goroutine.
 func (c *conn) reserve(id []byte, n int) bool {
 	budget := c.pool.cfg.Budget
-	favored := int64(n) > budget.Free(membudget.EndpointAnswers) && c.favored.contains(id)
+	favored := int64(n) > budget.Free(membudget.EndpointAnswers) && c.favored.Contains(string(id))
 	if !budget.Reserve(membudget.EndpointAnswers, int64(n), favored) {
 		return false
 	}
--- a/internal/net/resp/parser_test.go
+++ b/internal/net/resp/parser_test.go
@@ -101,7 +101,7 @@
 	}
 	c := &conn{pool: p, inFlight: map[string]*gateway.Attempt{}, canceled: map[string]time.Time{}}
 	c.parser.reserve = c.reserve
-	c.favored.add("light")
+	c.favored.Add("light")
 	receive := func(id string) (dropped bool) {
 		t.Helper()
 		c.inFlight[id] = &gateway.Attempt{Request: &gateway.Request{ID: id}}
--- a/internal/net/resp/pool.go
+++ b/internal/net/resp/pool.go
@@ -264,7 +264,7 @@
 	}
 	p.Counters.Canceled++
 	delete(c.inFlight, id)
-	c.favored.remove(id)
+	c.favored.Remove(id)
 	c.canceled[id] = p.loop.Now()
 	c.writeCommand("QUIT", id)
 }
--- a/internal/net/resp/request.go
+++ b/internal/net/resp/request.go
@@ -20,7 +20,7 @@
 	c.lastUsed = now
 	c.inFlight[a.Request.ID] = a
 	if a.Request.LightClient {
-		c.favored.add(a.Request.ID)
+		c.favored.Add(a.Request.ID)
 	}
 	c.pool.Counters.Written++
 	r := a.Request
--- a/internal/net/transport/descriptors.go
+++ b/internal/net/transport/descriptors.go
@@ -3,11 +3,12 @@
 import (
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
 	"golang.org/x/sys/unix"
+
+	"larchusher/internal/multiset"
 )
 
 const (
@@ -25,53 +26,20 @@
 type staleDescriptors struct {
 	closing sync.RWMutex // read-locked from before a descriptor may be closed until it is added
 
-	count  atomic.Int64 // sum of closes
-	mu     sync.Mutex
-	closes map[int]int // number of closes that were added and not removed, by descriptor
-}
-
-// add records the close of a descriptor.
-func (s *staleDescriptors) add(descriptor int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closes == nil {
-		s.closes = map[int]int{}
-	}
-	s.closes[descriptor]++
-	s.count.Add(1)
-}
-
-// remove undoes one add.
-func (s *staleDescriptors) remove(descriptor int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.count.Add(-1)
-	s.closes[descriptor]--
-	if s.closes[descriptor] == 0 {
-		delete(s.closes, descriptor)
-	}
-}
-
-// contains reports whether the poller may still have events of a former connection with this descriptor.
-func (s *staleDescriptors) contains(descriptor int) bool {
-	if s.count.Load() == 0 {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.closes[descriptor] > 0
+	closes multiset.Set[int] // descriptors, as often as they were closed
 }
 
-// reused is contains for a descriptor that has just been opened. It waits for closes that are under way: one of them may have freed it.
+// reused reports whether a descriptor that has just been opened is stale. It waits for closes that are under way: one of them may have
+// freed the number.
 func (s *staleDescriptors) reused(descriptor int) bool {
 	s.closing.Lock()
 	defer s.closing.Unlock()
-	return s.contains(descriptor)
+	return s.closes.Contains(descriptor)
 }
 
 // awaitRemoval waits until a descriptor is no longer stale, for at most maxStaleWait.
 func (s *staleDescriptors) awaitRemoval(descriptor int) {
-	for end := time.Now().Add(maxStaleWait); s.contains(descriptor) && time.Now().Before(end); {
+	for end := time.Now().Add(maxStaleWait); s.closes.Contains(descriptor) && time.Now().Before(end); {
 		time.Sleep(staleCheckInterval)
 	}
 }
@@ -83,7 +51,7 @@
 	if closed, _ := nc.IsClosed(); closed {
 		return
 	}
-	e.stale.add(nc.Hash())
+	e.stale.closes.Add(nc.Hash())
 	_ = nc.CloseWithError(err) // fails if the connection has been closed meanwhile
 	e.removeStale(nc.Hash())
 }
@@ -95,7 +63,7 @@
 	closedBefore, _ := nc.IsClosed()
 	_, err := nc.Write(b)
 	if err != nil && !closedBefore {
-		e.stale.add(nc.Hash())
+		e.stale.closes.Add(nc.Hash())
 		e.removeStale(nc.Hash())
 	}
 	return err
@@ -105,7 +73,7 @@
 func (e *Engine) removeStale(descriptor int) {
 	// The first callback may run among events that were fetched before the close, the second one cannot.
 	e.Barrier(func() {
-		e.Barrier(func() { e.stale.remove(descriptor) })
+		e.Barrier(func() { e.stale.closes.Remove(descriptor) })
 	})
 }
 
@@ -127,12 +95,12 @@
 // reserveStale opens descriptors until the next one to be opened has a number that is not stale. release closes them.
 func (e *Engine) reserveStale() (release func()) {
 	var reserved []int
-	for e.stale.count.Load() > 0 && len(reserved) < maxReservedDescriptors {
+	for !e.stale.closes.Empty() && len(reserved) < maxReservedDescriptors {
 		descriptor, err := unix.FcntlInt(uintptr(e.barrier.fd), unix.F_DUPFD_CLOEXEC, 0)
 		if err != nil { // all descriptors are in use; the connection waits for its number instead
 			break
 		}
-		if !e.stale.contains(descriptor) {
+		if !e.stale.closes.Contains(descriptor) {
 			_ = unix.Close(descriptor)
 			break
 		}
--- a/internal/net/transport/descriptors_test.go
+++ b/internal/net/transport/descriptors_test.go
@@ -111,7 +111,7 @@
 					t.Errorf("new connection %d: %v", i, err)
 				}
 			}
-			waitFor(t, "no descriptor is held to be stale", func() bool { return e.stale.count.Load() == 0 })
+			waitFor(t, "no descriptor is held to be stale", func() bool { return e.stale.closes.Empty() })
 		})
 	}
 }
