transport: engines that start at once do not race for nbio's logger

Cause: New replaces the library's one logger for the process; two engines that start at the same time, and a poller that logs, race for it. Change: the logger is set once and forwards to the log of the engine that was started last. nbio's logger has a file of its own.

--- a/internal/net/transport/transport.go
+++ b/internal/net/transport/transport.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
 	"github.com/sirupsen/logrus"
 
 	"larchusher/internal/logfields"
@@ -92,7 +91,7 @@
 // New starts an engine with one poller. At most maxUnwritten bytes may wait to be written on all of its connections
 // together. It returns an error if the poller does not start or does not run a first callback in time.
 func New(log logrus.FieldLogger, maxUnwritten int) (*Engine, error) {
-	logging.DefaultLogger = nbioLog{log}
+	useLog(log)
 	e := &Engine{log: log, buffer: make([]byte, readBufferSize)}
 	e.SetMaxUnwritten(int64(maxUnwritten))
 	e.engine = nbio.NewEngine(nbio.Config{Name: "larchusher", NPoller: 1, ReadBufferSize: 1,
@@ -299,17 +298,3 @@
 		opened(c)
 	}()
 }
-
-// nbioLog forwards nbio's warnings and errors to the engine's log. It drops nbio's other messages: they concern
-// single connections, whose handlers are notified anyway.
-type nbioLog struct{ log logrus.FieldLogger }
-
-func (nbioLog) SetLevel(int)         {}
-func (nbioLog) Debug(string, ...any) {}
-func (nbioLog) Info(string, ...any)  {}
-func (l nbioLog) Warn(format string, v ...any) {
-	l.log.WithField(logfields.Detail, fmt.Sprintf(format, v...)).Warn(logfields.PollerLibraryReported)
-}
-func (l nbioLog) Error(format string, v ...any) {
-	l.log.WithField(logfields.Detail, fmt.Sprintf(format, v...)).Error(logfields.PollerLibraryReported)
-}
